--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load generation and experiments."""
--- /dev/null
+++ b/siskinlug/__init__.py
@@ -0,0 +1,1 @@
+"""A proxy fleet for targets with gray failures."""
--- /dev/null
+++ b/siskinlug/clock.py
@@ -0,0 +1,40 @@
+"""Hybrid logical clock, so that events of all processes merge in causal order."""
+
+import time
+from collections.abc import Callable
+from typing import NamedTuple
+
+_MS_PER_NS = 1_000_000
+
+
+class Timestamp(NamedTuple):
+    """A hybrid logical time: wall clock milliseconds, then a counter."""
+
+    wall_ms: int
+    counter: int
+
+
+def wall_clock_ms() -> int:
+    """Return the wall clock in milliseconds since the epoch."""
+    return time.time_ns() // _MS_PER_NS
+
+
+class HybridClock:
+    """Hybrid logical clock of one process (Kulkarni et al., 2014)."""
+
+    def __init__(self, *, wall_ms: Callable[[], int] = wall_clock_ms) -> None:
+        self._wall_ms = wall_ms
+        self._last = Timestamp(0, 0)
+
+    def now(self) -> Timestamp:
+        """Return a time later than all that this clock returned or saw."""
+        wall = self._wall_ms()
+        if wall > self._last.wall_ms:
+            self._last = Timestamp(wall, 0)
+        else:
+            self._last = Timestamp(self._last.wall_ms, self._last.counter + 1)
+        return self._last
+
+    def observe(self, remote: Timestamp) -> None:
+        """Move past a time received from another process."""
+        self._last = max(self._last, Timestamp(*remote))
--- /dev/null
+++ b/siskinlug/connections.py
@@ -0,0 +1,143 @@
+"""Connection pool over tornado streams, with the age of each connection known."""
+
+from collections import deque
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from datetime import timedelta
+from typing import NamedTuple
+
+from returns.result import Failure, Result, Success
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.tcpclient import TCPClient
+
+CONNECT_TIMEOUT_S = 1.0
+IDLE_MAX_S = 30.0
+# A peer or something between may have forgotten a connection that was idle for
+# longer, and a request lost on it would have to count as possibly run.
+NON_IDEMPOTENT_IDLE_MAX_S = 2.0
+IDLE_PER_PEER = 64
+
+Address = tuple[str, int]
+
+
+class ConnectFailure(NamedTuple):
+    """No connection could be opened; nothing was written."""
+
+    address: Address
+    cause: str
+
+
+class Connection:
+    """A connection in use; ``reusable`` must be set before it is kept."""
+
+    def __init__(self, stream: IOStream, address: Address, *, reused: bool) -> None:
+        self.stream = stream
+        self.address = address
+        self.reused = reused
+        self.reusable = False
+
+
+class ConnectionPool:
+    """Idle connections by address."""
+
+    def __init__(self, *, monotonic: Callable[[], float]) -> None:
+        self.monotonic = monotonic
+        self.client = TCPClient()
+        self.idle_by_address: dict[Address, deque[tuple[IOStream, float]]] = {}
+        self.closed = False
+
+    def take_idle(self, address: Address, max_idle_s: float) -> IOStream | None:
+        """Return the most recently used idle stream that is young enough."""
+        idle = self.idle_by_address.get(address)
+        while idle:
+            stream, since = idle.pop()
+            if stream.closed():
+                continue
+            if self.monotonic() - since <= max_idle_s:
+                stream.set_close_callback(None)
+                return stream
+            stream.close()
+        return None
+
+    def keep(self, stream: IOStream, address: Address) -> None:
+        """Keep an idle stream, or close it beyond the bound."""
+        idle = self.idle_by_address.setdefault(address, deque())
+        if self.closed or len(idle) >= IDLE_PER_PEER:
+            stream.close()
+            return
+        # Without a pending read a close by the peer would go unnoticed.
+        stream.set_close_callback(lambda: self._forget(stream, address))
+        idle.append((stream, self.monotonic()))
+
+    def drop_address(self, address: Address) -> int:
+        """Close all idle connections to an address and return how many."""
+        idle = self.idle_by_address.pop(address, deque())
+        for stream, _ in idle:
+            stream.set_close_callback(None)
+            stream.close()
+        return len(idle)
+
+    def close(self) -> None:
+        """Close all idle connections and keep none from now on."""
+        self.closed = True
+        for address in list(self.idle_by_address):
+            self.drop_address(address)
+
+    def _forget(self, stream: IOStream, address: Address) -> None:
+        idle = self.idle_by_address.get(address, deque())
+        remaining = deque(entry for entry in idle if entry[0] is not stream)
+        if remaining:
+            self.idle_by_address[address] = remaining
+        else:
+            self.idle_by_address.pop(address, None)
+
+
+def make_pool(*, monotonic: Callable[[], float]) -> ConnectionPool:
+    """Build an empty pool."""
+    return ConnectionPool(monotonic=monotonic)
+
+
+@asynccontextmanager
+async def open_connection(
+    pool: ConnectionPool,
+    address: Address,
+    *,
+    max_idle_s: float = IDLE_MAX_S,
+    fresh: bool = False,
+    timeout_s: float = CONNECT_TIMEOUT_S,
+) -> AsyncIterator[Result[Connection, ConnectFailure]]:
+    """Lease a connection to an address.
+
+    Args:
+        pool: The pool.
+        address: Host and port.
+        max_idle_s: Oldest idle connection taken, in seconds.
+        fresh: Open a new connection even if one is idle.
+        timeout_s: Time to connect, in seconds.
+
+    Yields:
+        The connection, kept afterwards only if it was marked reusable, or why none
+        could be opened.
+    """
+    stream = None if fresh else pool.take_idle(address, max_idle_s)
+    reused = stream is not None
+    if stream is None:
+        try:
+            stream = await pool.client.connect(
+                address[0], address[1], timeout=timedelta(seconds=timeout_s)
+            )
+        except TimeoutError:
+            yield Failure(ConnectFailure(address, "timeout"))
+            return
+        except (OSError, StreamClosedError) as error:
+            yield Failure(ConnectFailure(address, str(error) or "refused"))
+            return
+        stream.set_nodelay(True)
+    connection = Connection(stream, address, reused=reused)
+    try:
+        yield Success(connection)
+    finally:
+        if connection.reusable and not stream.closed():
+            pool.keep(stream, address)
+        else:
+            stream.close()
--- /dev/null
+++ b/siskinlug/ini.py
@@ -0,0 +1,186 @@
+"""Checked INI files: every key has a type, a unit, a default and a range."""
+
+import configparser
+import re
+from collections.abc import Callable, Mapping
+from typing import Any, NamedTuple
+
+from returns.result import Failure, Result, Success
+
+_SECTION = re.compile(r"^\[(?P<name>[^\]]+)\]")
+_KEY = re.compile(r"^(?P<name>[^\s=:#;\[][^=:]*?)\s*[=:]")
+
+
+class Fault(NamedTuple):
+    """A fault in a file, located as closely as possible; line 0 is unknown."""
+
+    file: str
+    line: int
+    section: str
+    key: str
+    problem: str
+
+    def __str__(self) -> str:
+        """Return the fault as one line."""
+        place = f"{self.file}:{self.line}" if self.line else self.file
+        name = f"[{self.section}] {self.key}".rstrip() if self.section else self.key
+        return (
+            f"{place}: {name}: {self.problem}" if name else f"{place}: {self.problem}"
+        )
+
+
+class KeySpec(NamedTuple):
+    """What a key may hold.
+
+    Attributes:
+        parse: Turns the text into a value, raises ``ValueError`` with the problem.
+        default: Value when the key is absent; ``REQUIRED`` when it must be given.
+        unit: Unit for people, empty if there is none.
+        doc: One sentence for the documentation.
+    """
+
+    parse: Callable[[str], Any]
+    default: Any
+    unit: str
+    doc: str
+
+
+REQUIRED = object()
+
+
+def number(low: float, high: float) -> Callable[[str], float]:
+    """Accept a finite number between two bounds, both included."""
+
+    def parse(text: str) -> float:
+        try:
+            value = float(text)
+        except ValueError:
+            raise ValueError(f"{text!r} is not a number") from None
+        if not low <= value <= high:
+            raise ValueError(f"{text} is outside {low:g} to {high:g}")
+        return value
+
+    return parse
+
+
+def integer(low: int, high: int) -> Callable[[str], int]:
+    """Accept a whole number between two bounds, both included."""
+
+    def parse(text: str) -> int:
+        try:
+            value = int(text)
+        except ValueError:
+            raise ValueError(f"{text!r} is not a whole number") from None
+        if not low <= value <= high:
+            raise ValueError(f"{text} is outside {low} to {high}")
+        return value
+
+    return parse
+
+
+def one_of(*choices: str) -> Callable[[str], str]:
+    """Accept one of the given words."""
+
+    def parse(text: str) -> str:
+        if text not in choices:
+            raise ValueError(f"{text!r} is not one of {', '.join(choices)}")
+        return text
+
+    return parse
+
+
+def boolean(text: str) -> bool:
+    """Accept ``yes`` or ``no``."""
+    if text not in ("yes", "no"):
+        raise ValueError(f"{text!r} is not yes or no")
+    return text == "yes"
+
+
+def words(text: str) -> tuple[str, ...]:
+    """Accept words separated by commas or white space; none is allowed."""
+    return tuple(text.replace(",", " ").split())
+
+
+def matching(pattern: str, description: str) -> Callable[[str], str]:
+    """Accept text that a regular expression matches in full."""
+    compiled = re.compile(pattern)
+
+    def parse(text: str) -> str:
+        if not compiled.fullmatch(text):
+            raise ValueError(f"{text!r} is not {description}")
+        return text
+
+    return parse
+
+
+def locate_keys(text: str) -> dict[tuple[str, str], int]:
+    """Return the line of each section (key ``""``) and of each key in it."""
+    line_by_key: dict[tuple[str, str], int] = {}
+    section = ""
+    for number_of_line, line in enumerate(text.splitlines(), start=1):
+        if found := _SECTION.match(line):
+            section = found["name"]
+            line_by_key.setdefault((section, ""), number_of_line)
+        elif found := _KEY.match(line):
+            line_by_key.setdefault(
+                (section, found["name"].strip().lower()), number_of_line
+            )
+    return line_by_key
+
+
+def parse_ini(
+    text: str, *, file: str
+) -> Result[dict[str, dict[str, str]], list[Fault]]:
+    """Read INI text into values by section and key, without interpolation.
+
+    Returns:
+        The texts by section and key, or one fault for text that is not INI.
+    """
+    parser = configparser.ConfigParser(
+        interpolation=None, default_section="\0", inline_comment_prefixes=(" #", " ;")
+    )
+    try:
+        parser.read_string(text, source=file)
+    except configparser.Error as error:
+        line = getattr(error, "lineno", None) or 0
+        problem = getattr(error, "message", str(error)).replace("\n", " ")
+        section = getattr(error, "section", "") or ""
+        key = getattr(error, "option", "") or ""
+        return Failure([Fault(file, line, section, key, problem)])
+    return Success({name: dict(parser[name]) for name in parser.sections()})
+
+
+def check_section(
+    values: Mapping[str, str],
+    specs: Mapping[str, KeySpec],
+    *,
+    file: str,
+    section: str,
+    line_by_key: Mapping[tuple[str, str], int],
+) -> tuple[dict[str, Any], list[Fault]]:
+    """Check one section against its keys.
+
+    Returns:
+        The parsed values by key with defaults filled in, and every fault found.
+    """
+    parsed: dict[str, Any] = {}
+    faults: list[Fault] = []
+
+    def add_fault(key: str, problem: str) -> None:
+        line = line_by_key.get((section, key)) or line_by_key.get((section, ""), 0)
+        faults.append(Fault(file, line, section, key, problem))
+
+    for key in values:
+        if key not in specs:
+            add_fault(key, "unknown key")
+    for key, spec in specs.items():
+        if key not in values:
+            if spec.default is REQUIRED:
+                add_fault(key, "missing")
+            parsed[key] = spec.default
+            continue
+        try:
+            parsed[key] = spec.parse(values[key].strip())
+        except ValueError as error:
+            add_fault(key, str(error))
+    return parsed, faults
--- /dev/null
+++ b/siskinlug/load.py
@@ -0,0 +1,52 @@
+"""Load report of a target, carried in a header of each answer between nodes."""
+
+from typing import NamedTuple
+
+_FIELDS = 6
+
+
+class LoadReport(NamedTuple):
+    """What the owner of a target knows of its load.
+
+    Attributes:
+        target: Target id.
+        slots: Slots that admission uses now.
+        in_use: Slots taken.
+        queued: Requests waiting in the owner's queue.
+        wait_ms: Expected wait of a new request, in milliseconds.
+        service_ms: Recent median service time, in milliseconds.
+    """
+
+    target: str
+    slots: int
+    in_use: int
+    queued: int
+    wait_ms: float
+    service_ms: float
+
+
+def encode_load(load: LoadReport) -> str:
+    """Encode a report as a header value."""
+    return (
+        f"{load.target};{load.slots};{load.in_use};{load.queued};"
+        f"{load.wait_ms:.1f};{load.service_ms:.1f}"
+    )
+
+
+def decode_load(value: str) -> LoadReport | None:
+    """Decode a header value; a malformed one gives ``None``."""
+    parts = value.split(";")
+    if len(parts) != _FIELDS:
+        return None
+    try:
+        target, slots, in_use, queued, wait_ms, service_ms = parts
+        return LoadReport(
+            target,
+            int(slots),
+            int(in_use),
+            int(queued),
+            float(wait_ms),
+            float(service_ms),
+        )
+    except ValueError:
+        return None
--- /dev/null
+++ b/tests/test_virtual_time.py
@@ -0,0 +1,26 @@
+"""The virtual clock of replays."""
+
+import asyncio
+
+import testtools
+from testtools.matchers import Equals
+
+from bench.virtual_time import run_virtual
+
+
+async def _sleep_an_hour() -> float:
+    await asyncio.sleep(3600)
+    return asyncio.get_running_loop().time()
+
+
+async def _wait_forever() -> None:
+    await asyncio.Event().wait()
+
+
+class VirtualTimeTest(testtools.TestCase):
+    def test_sleep_advances_the_clock(self) -> None:
+        self.assertThat(run_virtual(_sleep_an_hour()), Equals(3600.0))
+
+    def test_a_deadlock_is_reported(self) -> None:
+        """Guards against a replay that hangs instead of failing."""
+        self.assertRaises(RuntimeError, run_virtual, _wait_forever())
