--- /dev/null
+++ b/siskinlug/configuration.py
@@ -0,0 +1,338 @@
+"""The configuration: a function of a prefix of the log's ``configuration`` stream.
+
+Every process folds the records of the stream in order by one rule, so processes that
+folded the same prefix hold the same state, and of two states the one with the higher
+offset is the later one.
+"""
+
+from collections.abc import Mapping
+from functools import lru_cache
+from typing import Any, NamedTuple
+
+import msgspec
+from returns.result import Failure, Result
+
+from siskinlug.ini import Fault
+from siskinlug.messages import Position
+from siskinlug.tables import (
+    NO_TABLES,
+    Pool,
+    Route,
+    Tables,
+    check_tables,
+    parse_pools,
+    parse_routes,
+)
+
+STREAM = "configuration"
+TABLES = ("routes", "pools")
+
+# Changes kept in the state, to name the other change of a refusal and to recognize
+# repeated ids: one day at 260 changes a day. An older record that is repeated can only
+# be accepted if it was refused before and its table did not change since.
+CHANGES_KEPT = 256
+# One table in one record; 1,100 routes take about 100 KB.
+TEXT_CHARS_MAX = 1_000_000
+
+
+class Change(NamedTuple):
+    """A publish record as it was decided.
+
+    Attributes:
+        change: Id of the record, chosen by the publisher.
+        table: ``routes`` or ``pools``.
+        base: Version on which the change was based.
+        version: Version that it put in force; 0 if it was refused.
+        operator: Who published it.
+        note: What the operator says about it.
+        at_ms: Wall clock of the publisher, milliseconds since the epoch.
+        offset: Offset of the record in the log.
+        problem: Why it was refused; empty if it was accepted.
+    """
+
+    change: str
+    table: str
+    base: int
+    version: int
+    operator: str
+    note: str
+    at_ms: int
+    offset: int
+    problem: str
+
+
+class ConfigurationState(NamedTuple):
+    """What the log's records below ``offset`` amount to.
+
+    Attributes:
+        offset: Offset of the next record to fold.
+        routes_version: Version of the routes table; 0 is none.
+        pools_version: Version of the pools table; 0 is none.
+        routes_text: Text of the routes table.
+        pools_text: Text of the pools table.
+        changes: The last changes that were decided, oldest first.
+        snapshot_offset: Offset up to which the newest snapshot in the log reaches, or
+            -1 if there is none.
+        snapshot_at_ms: Wall clock of its writer, milliseconds since the epoch.
+    """
+
+    offset: int = 0
+    routes_version: int = 0
+    pools_version: int = 0
+    routes_text: str = ""
+    pools_text: str = ""
+    changes: tuple[Change, ...] = ()
+    snapshot_offset: int = -1
+    snapshot_at_ms: int = 0
+
+    def version(self, table: str) -> int:
+        """Return the version in force of ``routes`` or ``pools``."""
+        return self.routes_version if table == "routes" else self.pools_version
+
+    def text(self, table: str) -> str:
+        """Return the text in force of ``routes`` or ``pools``."""
+        return self.routes_text if table == "routes" else self.pools_text
+
+
+EMPTY_STATE = ConfigurationState()
+
+
+class _Publish(msgspec.Struct, tag_field="kind", tag="publish"):
+    id: str
+    table: str
+    base: int
+    text: str
+    operator: str
+    note: str
+    at_ms: int
+
+
+class _Cancel(msgspec.Struct, tag_field="kind", tag="cancel"):
+    id: str
+    table: str
+    operator: str
+    at_ms: int
+
+
+class _Snapshot(msgspec.Struct, tag_field="kind", tag="snapshot"):
+    state: ConfigurationState
+    at_ms: int
+
+
+_Record = _Publish | _Cancel | _Snapshot
+
+
+def publish_record(
+    change: str,
+    table: str,
+    text: str,
+    *,
+    base: int,
+    operator: str,
+    note: str,
+    at_ms: int,
+) -> Any:
+    """Build the record of a publish; for the arguments see ``Change``."""
+    return msgspec.to_builtins(
+        _Publish(change, table, base, text, operator, note, at_ms)
+    )
+
+
+def cancel_record(change: str, table: str, *, operator: str, at_ms: int) -> Any:
+    """Build the record that refuses a change unless it was decided before."""
+    return msgspec.to_builtins(_Cancel(change, table, operator, at_ms))
+
+
+def snapshot_record(state: ConfigurationState, *, at_ms: int) -> Any:
+    """Build the record that carries a whole state."""
+    return msgspec.to_builtins(_Snapshot(state, at_ms))
+
+
+def fold(state: ConfigurationState, offset: int, record: Any) -> ConfigurationState:
+    """Fold one record of the log into the state.
+
+    A publish is accepted only if its base is the version in force of its table and
+    the joined tables stay valid. An id that was decided before counts once. A snapshot
+    repeats what the reader already has, and a record of unknown shape is passed over.
+
+    Args:
+        state: The state of the records below ``state.offset``.
+        offset: Offset of the record.
+        record: The record.
+
+    Returns:
+        The state including the record; the same state if the record is not the next
+        one, since a state is only ever the state of a whole prefix.
+    """
+    if offset != state.offset:
+        return state
+    state = state._replace(offset=offset + 1)
+    match _decode(record):
+        case _Publish() as publish:
+            return _fold_publish(state, offset, publish)
+        case _Cancel() as cancel:
+            return _decide(
+                state,
+                Change(
+                    cancel.id,
+                    cancel.table,
+                    0,
+                    0,
+                    cancel.operator,
+                    "",
+                    cancel.at_ms,
+                    offset,
+                    f"cancelled by {cancel.operator} before it arrived",
+                ),
+            )
+        case _Snapshot() as snapshot:
+            return state._replace(
+                snapshot_offset=snapshot.state.offset, snapshot_at_ms=snapshot.at_ms
+            )
+    return state
+
+
+def snapshot_state(record: Any) -> ConfigurationState | None:
+    """Return the state that a record carries, if it is a snapshot."""
+    decoded = _decode(record)
+    return decoded.state if isinstance(decoded, _Snapshot) else None
+
+
+def adopt(own: ConfigurationState, other: ConfigurationState) -> ConfigurationState:
+    """Return the state of a snapshot or a peer if it is later, else the own one.
+
+    A state whose tables this process cannot read is not taken.
+    """
+    later = (
+        other.offset > own.offset
+        and other.routes_version >= own.routes_version
+        and other.pools_version >= own.pools_version
+    )
+    return other if later and not check_texts(*_texts(other)) else own
+
+
+def position_of(state: ConfigurationState) -> Position:
+    """Return how far a state has come."""
+    return Position(
+        offset=state.offset,
+        routes_version=state.routes_version,
+        pools_version=state.pools_version,
+    )
+
+
+def tables_of(state: ConfigurationState) -> Tables:
+    """Return the tables in force.
+
+    The same texts give the same mappings, so that an index of them can be kept.
+    """
+    if not state.routes_version and not state.pools_version:
+        return NO_TABLES
+    routes: Mapping[str, Route] = _parse_routes(state.routes_text).unwrap()
+    pools: Mapping[str, Pool] = _parse_pools(state.pools_text).unwrap()
+    return Tables(state.routes_version, state.pools_version, routes, pools)
+
+
+def check_texts(routes_text: str, pools_text: str) -> list[Fault]:
+    """Return the faults of two table texts and of their join."""
+    routes, pools = _parse_routes(routes_text), _parse_pools(pools_text)
+    if isinstance(routes, Failure):
+        return routes.failure()
+    if isinstance(pools, Failure):
+        return pools.failure()
+    return check_tables(routes.unwrap(), pools.unwrap(), routes_text=routes_text)
+
+
+def find_change(state: ConfigurationState, change: str) -> Change | None:
+    """Return the decision on a change if it is among those kept."""
+    return next((c for c in reversed(state.changes) if c.change == change), None)
+
+
+def last_accepted(state: ConfigurationState, table: str) -> Change | None:
+    """Return the change that put the version in force, if it is still kept."""
+    version = state.version(table)
+    return next(
+        (c for c in reversed(state.changes) if (c.table, c.version) == (table, version)),
+        None,
+    )
+
+
+def conflict(state: ConfigurationState, table: str, base: int) -> str:
+    """Say which version is in force instead of ``base``, and whose it is."""
+    other = last_accepted(state, table)
+    if other is None:
+        return f"{table} is at version {state.version(table)}, not {base}"
+    note = f": {other.note}" if other.note else ""
+    return (
+        f"{table} is at version {other.version}, not {base}; {other.operator} "
+        f"published change {other.change}{note}"
+    )
+
+
+def _fold_publish(
+    state: ConfigurationState, offset: int, publish: _Publish
+) -> ConfigurationState:
+    table = publish.table
+    if table not in TABLES or find_change(state, publish.id) is not None:
+        return state
+    after = state
+    problem = ""
+    if publish.base != state.version(table):
+        problem = conflict(state, table, publish.base)
+    elif len(publish.text) > TEXT_CHARS_MAX:
+        problem = f"the text is longer than {TEXT_CHARS_MAX} characters"
+    else:
+        after = _with_table(state, table, publish.text)
+        problem = "; ".join(map(str, check_texts(*_texts(after))[:3]))
+    version = 0 if problem else after.version(table)
+    change = Change(
+        publish.id,
+        table,
+        publish.base,
+        version,
+        publish.operator,
+        publish.note,
+        publish.at_ms,
+        offset,
+        problem,
+    )
+    return _decide(state if problem else after, change)
+
+
+def _decide(state: ConfigurationState, change: Change) -> ConfigurationState:
+    """Note a decision, unless there was one on the same id before."""
+    if find_change(state, change.change) is not None:
+        return state
+    return state._replace(changes=(*state.changes, change)[-CHANGES_KEPT:])
+
+
+def _with_table(
+    state: ConfigurationState, table: str, text: str
+) -> ConfigurationState:
+    if table == "routes":
+        return state._replace(
+            routes_text=text, routes_version=state.routes_version + 1
+        )
+    return state._replace(pools_text=text, pools_version=state.pools_version + 1)
+
+
+def _texts(state: ConfigurationState) -> tuple[str, str]:
+    return state.routes_text, state.pools_text
+
+
+def _decode(record: Any) -> _Record | None:
+    try:
+        return msgspec.convert(record, _Record)  # type: ignore[arg-type]
+    except msgspec.ValidationError:
+        return None
+
+
+# A change replaces one text of two, and the checks of a refused one must not evict
+# the texts in force.
+@lru_cache(maxsize=4)
+def _parse_routes(text: str) -> Result[dict[str, Route], list[Fault]]:
+    return parse_routes(text)
+
+
+@lru_cache(maxsize=4)
+def _parse_pools(text: str) -> Result[dict[str, Pool], list[Fault]]:
+    return parse_pools(text)
