--- /dev/null
+++ b/siskinlug/entry.py
@@ -0,0 +1,521 @@
+"""Entry role: match the route, pick a target, keep the deadline, give the verdict."""
+
+import secrets
+from collections import deque
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+from contextlib import asynccontextmanager
+from statistics import median
+from typing import NamedTuple
+
+from returns.result import Failure, Result, Success
+from tornado.httputil import HTTPHeaders
+
+from siskinlug.account_rates import AccountRates, admit_account
+from siskinlug.body import BodyCut
+from siskinlug.choice import Candidate, Choose
+from siskinlug.connections import (
+    IDLE_MAX_S,
+    NON_IDEMPOTENT_IDLE_MAX_S,
+    ConnectionPool,
+    open_connection,
+)
+from siskinlug.directory import Directory, NodeRecord, TargetRecord
+from siskinlug.exchange import Answer, RequestHead, end_to_end, exchange
+from siskinlug.inbound import Inbound, send_refusal, stream_answer
+from siskinlug.load import LoadReport, decode_load
+from siskinlug.logs import log_event
+from siskinlug.metrics import Metrics
+from siskinlug.owner import AttemptRequest, Owner, load_of, open_attempt
+from siskinlug.quarantine import fingerprint_of
+from siskinlug.retries import (
+    RetryBudget,
+    make_retry_budget,
+    may_retry,
+    note_success,
+)
+from siskinlug.routing import match_route
+from siskinlug.service_times import ServiceTimes, is_long
+from siskinlug.service_times import observe as observe_service_time
+from siskinlug.tables import Pool, Route, Tables
+from siskinlug.verdict import Reason, Refusal, Verdict, may_have_run, not_run
+
+# Time that the entry keeps for itself when it tells an owner how long is left.
+DEADLINE_MARGIN_S = 0.005
+RECENT_SERVICE_TIMES = 64
+MIN_BASELINE_SAMPLES = 8
+
+
+class Request(NamedTuple):
+    """A caller's request with what the routes table says of it."""
+
+    request_id: str
+    route: Route
+    pool: Pool
+    account: str
+    long_work: bool
+    deadline: float
+    fingerprint: str
+    head: RequestHead
+
+
+class Attempted(NamedTuple):
+    """A target that was tried and what became of it."""
+
+    target: str
+    node: str
+    refusal: Refusal | None
+
+
+CancelAttempt = Callable[[NodeRecord, str], Awaitable[Verdict]]
+
+
+class Entry:
+    """State of the entry role of one process."""
+
+    def __init__(
+        self,
+        *,
+        directory: Directory,
+        owner: Owner,
+        connections: ConnectionPool,
+        tables: Callable[[], Tables],
+        choose: Choose,
+        penalty_ms: Callable[[str, str], float],
+        cancel_attempt: CancelAttempt,
+        token: str,
+        metrics: Metrics,
+        monotonic: Callable[[], float],
+        service_times: ServiceTimes,
+        account_rates: AccountRates,
+    ) -> None:
+        self.directory = directory
+        self.owner = owner
+        self.connections = connections
+        self.tables = tables
+        self.choose = choose
+        self.penalty_ms = penalty_ms
+        self.cancel_attempt = cancel_attempt
+        self.token = token
+        self.metrics = metrics
+        self.monotonic = monotonic
+        self.service_times = service_times
+        self.account_rates = account_rates
+        self.load_by_target: dict[str, tuple[LoadReport, float]] = {}
+        self.budget_by_pool: dict[str, RetryBudget] = {}
+        self.recent_by_route: dict[str, deque[float]] = {}
+        self.count = 0
+
+
+async def serve_caller(entry: Entry, inbound: Inbound) -> None:
+    """Serve one request of a caller, to a whole answer or a refusal.
+
+    Args:
+        entry: The entry role.
+        inbound: The request.
+
+    Raises:
+        BodyCut: The answer was cut short after its head had been passed on.
+    """
+    started_at = entry.monotonic()
+    request_id = inbound.head.headers.get("X-Request-Id") or _new_id(entry)
+    attempted: list[Attempted] = []
+    entry.metrics.in_flight.add(1)
+    route_name = pool_name = ""
+    verdict = Verdict.RAN
+    reason = ""
+    status = 0
+    try:
+        matched = await _match(entry, inbound, request_id, started_at)
+        if isinstance(matched, Failure):
+            refusal: Refusal | None = matched.failure()
+        else:
+            request = matched.unwrap()
+            route_name, pool_name = request.route.name, request.pool.name
+            refusal = await _run_attempts(entry, inbound, request, attempted)
+        if refusal is not None:
+            verdict, reason = refusal.verdict, refusal.reason.value
+            await send_refusal(inbound, refusal, request_id=request_id)
+        status = inbound.answered_status
+    except BodyCut:
+        verdict, reason = Verdict.MAY_HAVE_RUN, "cut"
+        raise
+    finally:
+        entry.metrics.in_flight.add(-1)
+        duration_s = entry.monotonic() - started_at
+        _account_for(entry, route_name, status, verdict, reason, duration_s)
+        log_event(
+            "access",
+            request_id=request_id,
+            method=inbound.head.method,
+            path=inbound.head.path.partition("?")[0],
+            route=route_name,
+            pool=pool_name,
+            target=attempted[-1].target if attempted else "",
+            attempts=len(attempted),
+            status=status,
+            verdict=verdict.value,
+            reason=reason,
+            duration_ms=round(duration_s * 1000, 2),
+        )
+
+
+def _account_for(
+    entry: Entry,
+    route: str,
+    status: int,
+    verdict: Verdict,
+    reason: str,
+    duration_s: float,
+) -> None:
+    labels = {
+        "route": route,
+        "status": f"{status // 100}xx",
+        "verdict": verdict.value,
+    }
+    entry.metrics.requests.add(1, labels)
+    entry.metrics.duration.record(duration_s, {"route": route})
+    if reason:
+        entry.metrics.refusals.add(1, {"reason": reason})
+
+
+def _new_id(entry: Entry) -> str:
+    entry.count += 1
+    own = entry.directory.own
+    return f"{own.node}-{own.incarnation:x}-{entry.count:x}"
+
+
+async def _match(
+    entry: Entry, inbound: Inbound, request_id: str, started_at: float
+) -> Result[Request, Refusal]:
+    """Match the route and prepare the request for the targets."""
+    tables = entry.tables()
+    if not tables.routes_version or not tables.pools_version:
+        return Failure(not_run(Reason.NO_CONFIGURATION, "no tables are in force"))
+    head = inbound.head
+    host = head.headers.get("Host", "")
+    route = match_route(tables, head.method, host, head.path)
+    if route is None:
+        return Failure(not_run(Reason.NO_ROUTE, f"{head.method} {head.path}"))
+    account = head.headers.get(route.account_header, "")
+    refusal = admit_account(entry.account_rates, route, account)
+    if refusal is not None:
+        return Failure(refusal)
+    # A small body is read whole first, so that a slow caller holds no slot.
+    await inbound.body.wait_whole()
+    key = head.headers.get("Idempotency-Key", "")
+    return Success(
+        Request(
+            request_id=request_id,
+            route=route,
+            pool=tables.pools_by_name[route.pool],
+            account=account,
+            long_work=route.work == "long"
+            or (route.work == "learned" and is_long(entry.service_times, route.name)),
+            deadline=started_at + route.timeout_s,
+            fingerprint=fingerprint_of(key, head.method, head.path, inbound.body),
+            head=RequestHead(
+                head.method, head.path, _headers_for_target(inbound, request_id)
+            ),
+        )
+    )
+
+
+def _headers_for_target(inbound: Inbound, request_id: str) -> HTTPHeaders:
+    headers = end_to_end(inbound.head.headers)
+    for name in [name for name in headers if name.startswith("Siskinlug-")]:
+        del headers[name]
+    # The entry itself answered 100-continue.
+    if "Expect" in headers:
+        del headers["Expect"]
+    headers["X-Request-Id"] = request_id
+    before = headers.get("X-Forwarded-For")
+    headers["X-Forwarded-For"] = (
+        f"{before}, {inbound.remote_ip}" if before else inbound.remote_ip
+    )
+    headers.add("Via", "1.1 siskinlug")
+    if "Traceparent" not in headers:
+        trace, span = secrets.token_hex(16), secrets.token_hex(8)
+        headers["Traceparent"] = f"00-{trace}-{span}-01"
+    return headers
+
+
+async def _run_attempts(
+    entry: Entry, inbound: Inbound, request: Request, attempted: list[Attempted]
+) -> Refusal | None:
+    """Try targets until one answers or a refusal is final.
+
+    Returns:
+        The final refusal, or ``None`` when an answer was passed on.
+    """
+    budget = entry.budget_by_pool.get(request.pool.name)
+    if budget is None:
+        budget = make_retry_budget(monotonic=entry.monotonic)
+        entry.budget_by_pool[request.pool.name] = budget
+    while True:
+        candidate = _choose(entry, request, attempted)
+        if candidate is None:
+            return _no_candidate(attempted)
+        async with _open(entry, inbound, request, candidate) as result:
+            if isinstance(result, Success):
+                attempted.append(Attempted(candidate.target, candidate.node, None))
+                await _pass_on(entry, inbound, request, candidate, result.unwrap())
+                note_success(budget)
+                return None
+            refusal = result.failure()
+        attempted.append(Attempted(candidate.target, candidate.node, refusal))
+        entry.metrics.attempts.add(
+            1, {"route": request.route.name, "outcome": refusal.reason.value}
+        )
+        if not _may_try_again(entry, inbound, request, refusal, attempted, budget):
+            return refusal
+        entry.metrics.retries.add(1, {"pool": request.pool.name})
+
+
+def _no_candidate(attempted: list[Attempted]) -> Refusal:
+    for tried in reversed(attempted):
+        if tried.refusal is not None:
+            return tried.refusal
+    return not_run(Reason.NO_TARGET, "no target of the pool is in", retry_after_s=1.0)
+
+
+def _may_try_again(
+    entry: Entry,
+    inbound: Inbound,
+    request: Request,
+    refusal: Refusal,
+    attempted: list[Attempted],
+    budget: RetryBudget,
+) -> bool:
+    if not inbound.body.can_replay:
+        return False
+    return may_retry(
+        request.route,
+        refusal,
+        attempt=len(attempted),
+        now=entry.monotonic(),
+        deadline=request.deadline,
+        expected_s=_baseline_s(entry, request.route.name) or 0.0,
+        budget=budget,
+    )
+
+
+def _baseline_s(entry: Entry, route: str) -> float | None:
+    recent = entry.recent_by_route.get(route, ())
+    return median(recent) if len(recent) >= MIN_BASELINE_SAMPLES else None
+
+
+def belongs(pool: Pool, node: NodeRecord, target: TargetRecord) -> bool:
+    """Whether a target is a member of a pool."""
+    return (
+        target.service == pool.service
+        and (not pool.failure_domains or node.failure_domain in pool.failure_domains)
+        and (not pool.allowed_vms or node.vm in pool.allowed_vms)
+        and node.vm not in pool.denied_vms
+    )
+
+
+def distance(own: NodeRecord, other: NodeRecord) -> int:
+    """Return 0 on the same VM, 1 in the domain, 2 in the region, else 3."""
+    if own.vm == other.vm:
+        return 0
+    if own.failure_domain == other.failure_domain:
+        return 1
+    return 2 if own.region == other.region else 3
+
+
+def candidates(entry: Entry, route: Route, pool: Pool) -> list[Candidate]:
+    """Return the targets of a pool that may take a request of a route now."""
+    now = entry.monotonic()
+    own = entry.directory.own
+    found = []
+    for node in entry.directory.alive():
+        if node.state != "alive":
+            continue
+        for target in node.targets:
+            if not belongs(pool, node, target) or target.state != "ready":
+                continue
+            if "*" in target.ejected or route.name in target.ejected:
+                continue
+            load, load_at = _load(entry, node, target, now)
+            found.append(
+                Candidate(
+                    target=target.target,
+                    node=node.node,
+                    distance=distance(own, node),
+                    weight=pool.weight_by_domain.get(node.failure_domain, 1.0),
+                    slots=min(target.slots, pool.slots or target.slots),
+                    load=load,
+                    load_age_s=now - load_at,
+                    penalty_ms=entry.penalty_ms(node.node, route.name),
+                )
+            )
+    return found
+
+
+def _load(
+    entry: Entry, node: NodeRecord, target: TargetRecord, now: float
+) -> tuple[LoadReport | None, float]:
+    if node.node == entry.directory.own_node:
+        return load_of(entry.owner, target.target), now
+    return entry.load_by_target.get(target.target, (None, now))
+
+
+def _choose(
+    entry: Entry, request: Request, attempted: list[Attempted]
+) -> Candidate | None:
+    tried = {attempt.target for attempt in attempted}
+    found = candidates(entry, request.route, request.pool)
+    return entry.choose([c for c in found if c.target not in tried])
+
+
+@asynccontextmanager
+async def _open(
+    entry: Entry, inbound: Inbound, request: Request, candidate: Candidate
+) -> AsyncIterator[Result[Answer, Refusal]]:
+    """Open an attempt at the owner, which may be this process."""
+    entry.count += 1
+    own = entry.directory.own
+    attempt = AttemptRequest(
+        attempt=f"{own.node}-{own.incarnation:x}-{entry.count:x}",
+        target=candidate.target,
+        route=request.route.name,
+        account=request.account,
+        priority=request.route.priority,
+        long_work=request.long_work,
+        idempotent=request.route.idempotent,
+        deadline=request.deadline - DEADLINE_MARGIN_S,
+        baseline_s=_baseline_s(entry, request.route.name),
+        fingerprint=request.fingerprint,
+    )
+    if candidate.node == own.node:
+        async with open_attempt(
+            entry.owner, attempt, request.head, inbound.body
+        ) as result:
+            yield result
+        return
+    node = entry.directory.record_by_node.get(candidate.node)
+    if node is None:
+        yield Failure(not_run(Reason.PEER_UNREACHABLE, candidate.node))
+        return
+    async with _open_remote(entry, inbound, request, attempt, node) as result:
+        yield result
+
+
+@asynccontextmanager
+async def _open_remote(
+    entry: Entry,
+    inbound: Inbound,
+    request: Request,
+    attempt: AttemptRequest,
+    node: NodeRecord,
+) -> AsyncIterator[Result[Answer, Refusal]]:
+    head = RequestHead(
+        request.head.method,
+        request.head.path,
+        attempt_headers(entry, attempt, request.head.headers),
+    )
+    idle_s = IDLE_MAX_S if attempt.idempotent else NON_IDEMPOTENT_IDLE_MAX_S
+    left_s = request.deadline - entry.monotonic()
+    async with open_connection(
+        entry.connections, (node.host, node.peer_port), max_idle_s=idle_s
+    ) as connected:
+        if isinstance(connected, Failure):
+            yield Failure(not_run(Reason.PEER_UNREACHABLE, node.node))
+            return
+        async with exchange(
+            connected.unwrap(), head, inbound.body, first_byte_s=max(0.0, left_s)
+        ) as result:
+            if isinstance(result, Success):
+                yield _answer_or_refusal(entry, result.unwrap())
+                return
+            cause = result.failure().cause
+    # The connection is closed by now; the owner may still hold the attempt.
+    yield Failure(await _settle(entry, node, attempt.attempt, cause))
+
+
+def attempt_headers(
+    entry: Entry, attempt: AttemptRequest, headers: HTTPHeaders
+) -> HTTPHeaders:
+    """Return the headers of an attempt on its way to another node."""
+    copy = headers.copy()
+    left_ms = int((attempt.deadline - entry.monotonic()) * 1000)
+    copy["Siskinlug-Token"] = entry.token
+    copy["Siskinlug-Attempt"] = attempt.attempt
+    copy["Siskinlug-Target"] = attempt.target
+    copy["Siskinlug-Route"] = attempt.route
+    copy["Siskinlug-Account"] = attempt.account
+    copy["Siskinlug-Priority"] = str(attempt.priority)
+    copy["Siskinlug-Work"] = "long" if attempt.long_work else "short"
+    copy["Siskinlug-Idempotent"] = "yes" if attempt.idempotent else "no"
+    copy["Siskinlug-Deadline-Ms"] = str(max(0, left_ms))
+    copy["Siskinlug-Fingerprint"] = attempt.fingerprint
+    if attempt.baseline_s is not None:
+        copy["Siskinlug-Baseline-Ms"] = f"{attempt.baseline_s * 1000:.2f}"
+    return copy
+
+
+def _answer_or_refusal(entry: Entry, answer: Answer) -> Result[Answer, Refusal]:
+    load = decode_load(answer.headers.get("Siskinlug-Load", ""))
+    if load is not None:
+        entry.load_by_target[load.target] = (load, entry.monotonic())
+    verdict = answer.headers.get("Siskinlug-Verdict")
+    if verdict is None:
+        return Success(answer)
+    retry_after = answer.headers.get("Retry-After")
+    try:
+        refusal = Refusal(
+            Verdict(verdict),
+            Reason(answer.headers.get("Siskinlug-Reason", "internal")),
+            answer.headers.get("Siskinlug-Detail", ""),
+            float(retry_after) if retry_after else None,
+        )
+    except ValueError:
+        refusal = may_have_run(Reason.PEER_LOST, "malformed refusal")
+    return Failure(refusal)
+
+
+async def _settle(
+    entry: Entry, node: NodeRecord, attempt: str, cause: str
+) -> Refusal:
+    """Ask the owner, over a new connection, what became of a lost attempt."""
+    if cause == "body_cut":
+        return may_have_run(Reason.CANCELLED)
+    verdict = await entry.cancel_attempt(node, attempt)
+    return Refusal(verdict, Reason.PEER_LOST, f"{node.node}: {cause}")
+
+
+async def _pass_on(
+    entry: Entry,
+    inbound: Inbound,
+    request: Request,
+    candidate: Candidate,
+    answer: Answer,
+) -> None:
+    """Pass an answer on and learn its service time."""
+    for name in [name for name in answer.headers if name.startswith("Siskinlug-")]:
+        if name == "Siskinlug-Service-Ms":
+            _learn(entry, request.route.name, answer.headers[name])
+        del answer.headers[name]
+    extra = HTTPHeaders({"Siskinlug-Served-By": candidate.target})
+    extra["X-Request-Id"] = request.request_id
+    await stream_answer(inbound, answer, extra)
+    entry.metrics.attempts.add(
+        1, {"route": request.route.name, "outcome": f"{answer.status // 100}xx"}
+    )
+
+
+def _learn(entry: Entry, route: str, service_ms: str) -> None:
+    try:
+        service_s = float(service_ms) / 1000
+    except ValueError:
+        return
+    observe_service_time(entry.service_times, route, service_s)
+    recent = entry.recent_by_route.setdefault(
+        route, deque(maxlen=RECENT_SERVICE_TIMES)
+    )
+    recent.append(service_s)
+
+
+def routes_in_use(entry: Entry) -> Mapping[str, int]:
+    """Return how many service times are known by route, for the admin port."""
+    return {name: len(recent) for name, recent in entry.recent_by_route.items()}
--- /dev/null
+++ b/siskinlug/inbound.py
@@ -0,0 +1,285 @@
+"""Server side of HTTP: one task for each request, bodies streamed both ways."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+from absl import logging
+from tornado.http1connection import HTTP1ServerConnection
+from tornado.httpserver import HTTPServer
+from tornado.httputil import (
+    HTTPConnection,
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    HTTPServerConnectionDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+    responses,
+)
+from tornado.iostream import StreamClosedError
+from tornado.netutil import bind_sockets
+
+from siskinlug.body import BodyCut, BodyStream
+from siskinlug.exchange import CHUNK_BYTES, Answer, RequestHead, end_to_end
+from siskinlug.logs import log_event
+from siskinlug.verdict import Reason, Refusal, may_have_run, not_run, refusal_body
+
+# The codec drops a connection beyond its own bound without an answer, so it gets
+# room above the limit at which the caller is told.
+_HEAD_SLACK = 2
+_MAX_BODY_BYTES = 1 << 50
+
+
+class InboundLimits(NamedTuple):
+    """Bounds for requests on one port; see ``settings.SPECS`` for their units."""
+
+    header_bytes: int
+    body_bytes: int
+    replay_bytes: int
+    idle_s: float
+    body_s: float
+    connections: int
+
+
+class Inbound:
+    """One request being served and the connection for its answer."""
+
+    def __init__(
+        self,
+        connection: HTTPConnection,
+        head: RequestHead,
+        body: BodyStream,
+        remote_ip: str,
+    ) -> None:
+        self.connection = connection
+        self.head = head
+        self.body = body
+        self.remote_ip = remote_ip
+        self.answered_status = 0
+
+
+Serve = Callable[[Inbound], Awaitable[None]]
+
+
+class InboundServer:
+    """A listening port; ``task_by_request`` holds what is being served."""
+
+    def __init__(self, serve: Serve, limits: InboundLimits) -> None:
+        self.serve = serve
+        self.limits = limits
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.open_connections = 0
+        self.leaving = False
+        self.http: HTTPServer | None = None
+        self.port = 0
+
+
+class _RequestDelegate(HTTPMessageDelegate):
+    def __init__(
+        self, server: InboundServer, connection: HTTPConnection, remote_ip: str
+    ) -> None:
+        self._server = server
+        self._connection = connection
+        self._remote_ip = remote_ip
+        self._body = BodyStream(replay_bytes=server.limits.replay_bytes)
+        self._task: asyncio.Task[None] | None = None
+
+    def headers_received(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> None:
+        assert isinstance(start_line, RequestStartLine)
+        head = RequestHead(start_line.method, start_line.path, headers)
+        inbound = Inbound(self._connection, head, self._body, self._remote_ip)
+        self._task = asyncio.create_task(_serve_checked(self._server, inbound))
+        self._server.tasks.add(self._task)
+        self._task.add_done_callback(self._server.tasks.discard)
+
+    def data_received(self, chunk: bytes) -> asyncio.Future[None] | None:
+        return self._body.feed(chunk)
+
+    def finish(self) -> None:
+        self._body.finish()
+
+    def on_connection_close(self) -> None:
+        self._body.cut_off()
+        if self._task is not None:
+            self._task.cancel()
+
+
+class _ServerDelegate(HTTPServerConnectionDelegate):
+    def __init__(self, server: InboundServer) -> None:
+        self._server = server
+
+    def start_request(
+        self, server_conn: object, request_conn: HTTPConnection
+    ) -> HTTPMessageDelegate:
+        assert isinstance(server_conn, HTTP1ServerConnection)
+        address = getattr(server_conn.context, "address", None)
+        remote_ip = address[0] if isinstance(address, tuple) else ""
+        return _RequestDelegate(self._server, request_conn, remote_ip)
+
+
+def _head_problem(limits: InboundLimits, head: RequestHead) -> Refusal | None:
+    size = len(head.method) + len(head.path)
+    size += sum(len(name) + len(value) + 4 for name, value in head.headers.get_all())
+    if size > limits.header_bytes:
+        return not_run(
+            Reason.HEADERS_TOO_LARGE, f"the limit is {limits.header_bytes} bytes"
+        )
+    length = head.headers.get("Content-Length", "0")
+    if length.isdecimal() and int(length) > limits.body_bytes:
+        return not_run(Reason.BODY_TOO_LARGE, f"the limit is {limits.body_bytes} bytes")
+    return None
+
+
+async def _serve_checked(server: InboundServer, inbound: Inbound) -> None:
+    """Serve one request and make sure that a failure never looks like an answer."""
+    try:
+        if problem := _head_problem(server.limits, inbound.head):
+            await send_refusal(inbound, problem, request_id="")
+        else:
+            await server.serve(inbound)
+    except (StreamClosedError, BodyCut, asyncio.CancelledError):
+        break_connection(inbound)
+    except Exception as error:
+        log_event(
+            "request_failed",
+            write=logging.error,
+            error=f"{type(error).__name__}: {error}",
+        )
+        logging.debug("request failed", exc_info=True)
+        await _send_internal_error(inbound)
+    finally:
+        inbound.body.discard()
+
+
+async def _send_internal_error(inbound: Inbound) -> None:
+    if inbound.answered_status:
+        break_connection(inbound)
+        return
+    try:
+        refusal = may_have_run(Reason.INTERNAL, "internal error")
+        await send_refusal(inbound, refusal, request_id="")
+    except StreamClosedError:
+        return
+
+
+def break_connection(inbound: Inbound) -> None:
+    """Close the connection, so that a cut answer is never taken for a whole one."""
+    inbound.connection.close()  # type: ignore[attr-defined]
+
+
+async def send_answer(
+    inbound: Inbound, status: int, headers: HTTPHeaders, body: bytes = b""
+) -> None:
+    """Send a whole answer from memory."""
+    headers["Content-Length"] = str(len(body))
+    start = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
+    inbound.answered_status = status
+    chunk = None if inbound.head.method == "HEAD" or not body else body
+    await inbound.connection.write_headers(start, headers, chunk)
+    inbound.connection.finish()
+
+
+async def send_refusal(inbound: Inbound, refusal: Refusal, *, request_id: str) -> None:
+    """Send a refusal with its verdict and reason in headers and a JSON body."""
+    headers = HTTPHeaders(
+        {
+            "Content-Type": "application/json",
+            "Siskinlug-Verdict": refusal.verdict.value,
+            "Siskinlug-Reason": refusal.reason.value,
+        }
+    )
+    if request_id:
+        headers["X-Request-Id"] = request_id
+    if refusal.retry_after_s is not None:
+        headers["Retry-After"] = str(max(1, round(refusal.retry_after_s)))
+    body = refusal_body(refusal, request_id)
+    await send_answer(inbound, refusal.status, headers, body)
+
+
+async def stream_answer(
+    inbound: Inbound, answer: Answer, extra: HTTPHeaders | None = None
+) -> int:
+    """Pass an answer on as it arrives.
+
+    Args:
+        inbound: The request being answered.
+        answer: The answer of a target or another node.
+        extra: Headers to add.
+
+    Returns:
+        Bytes of the body passed on.
+
+    Raises:
+        BodyCut: The answer was cut short; the connection must be broken.
+        StreamClosedError: The receiver went away.
+    """
+    headers = end_to_end(answer.headers)
+    for name, value in extra.get_all() if extra else ():
+        headers[name] = value
+    start = ResponseStartLine("HTTP/1.1", answer.status, answer.reason)
+    inbound.answered_status = answer.status
+    sent_bytes = 0
+    if answer.body.whole and answer.body.received_bytes == 0:
+        await inbound.connection.write_headers(start, headers)
+    else:
+        head_written = False
+        async for chunk in answer.body.chunks():
+            sent_bytes += len(chunk)
+            if head_written:
+                await inbound.connection.write(chunk)
+            else:
+                head_written = True
+                await inbound.connection.write_headers(start, headers, chunk)
+        if not head_written:
+            await inbound.connection.write_headers(start, headers)
+    inbound.connection.finish()
+    return sent_bytes
+
+
+def open_server(
+    serve: Serve, *, host: str, port: int, limits: InboundLimits
+) -> InboundServer:
+    """Listen on a port and serve each request in a task of its own.
+
+    Args:
+        serve: Coroutine function for one request.
+        host: Address to listen on.
+        port: Port; 0 takes a free one, see ``InboundServer.port``.
+        limits: Bounds for requests.
+
+    Raises:
+        OSError: The port is taken.
+    """
+    server = InboundServer(serve, limits)
+    server.http = HTTPServer(
+        _ServerDelegate(server),
+        max_header_size=limits.header_bytes * _HEAD_SLACK,
+        max_body_size=_MAX_BODY_BYTES,
+        idle_connection_timeout=limits.idle_s,
+        body_timeout=limits.body_s,
+        chunk_size=CHUNK_BYTES,
+    )
+    sockets = bind_sockets(port, host)
+    server.port = sockets[0].getsockname()[1]
+    server.http.add_sockets(sockets)
+    return server
+
+
+async def drain_server(server: InboundServer, *, timeout_s: float) -> int:
+    """Stop listening and wait for all requests in flight.
+
+    Returns:
+        Requests that were still in flight at the time limit and were cut.
+    """
+    assert server.http is not None
+    server.leaving = True
+    server.http.stop()
+    if server.tasks:
+        await asyncio.wait(list(server.tasks), timeout=timeout_s)
+    cut = [task for task in server.tasks if not task.done()]
+    for task in cut:
+        task.cancel()
+    await server.http.close_all_connections()
+    return len(cut)
--- /dev/null
+++ b/siskinlug/logs.py
@@ -0,0 +1,67 @@
+"""Logs: JSON lines through absl.logging, one schema for all processes."""
+
+import json
+import logging as std_logging
+import sys
+from collections.abc import Callable
+from typing import Any
+
+from absl import logging
+
+_LEVELS = {
+    "debug": logging.DEBUG,
+    "info": logging.INFO,
+    "warning": logging.WARNING,
+    "error": logging.ERROR,
+}
+
+
+class _JsonFormatter(std_logging.Formatter):
+    """One JSON object a line: time, level, node, event and the event's fields."""
+
+    def __init__(self, node: str) -> None:
+        super().__init__()
+        self._node = node
+
+    def format(self, record: std_logging.LogRecord) -> str:
+        line: dict[str, Any] = {
+            "time": round(record.created, 3),
+            "level": record.levelname.lower(),
+            "node": self._node,
+        }
+        if isinstance(record.args, dict):
+            line |= {"event": record.msg, **record.args}
+        else:
+            line["event"] = "message"
+            line["message"] = record.getMessage()
+        if record.exc_info:
+            line["exception"] = self.formatException(record.exc_info)
+        return json.dumps(line, default=str)
+
+
+def configure_logs(*, node: str, level: str) -> None:
+    """Send all logs of the process to standard error as JSON lines.
+
+    Args:
+        node: Node id, written on each line.
+        level: ``debug``, ``info``, ``warning`` or ``error``.
+    """
+    logging.use_absl_handler()
+    handler = logging.get_absl_handler()
+    handler.setFormatter(_JsonFormatter(node))
+    handler.python_handler.stream = sys.stderr
+    logging.set_verbosity(_LEVELS[level])
+    std_logging.getLogger("tornado").setLevel(std_logging.ERROR)
+
+
+def log_event(
+    event: str, *, write: Callable[..., None] = logging.info, **fields: object
+) -> None:
+    """Write one line with an event name and its fields.
+
+    Args:
+        event: Event name in snake case.
+        write: ``absl.logging`` function that sets the level.
+        fields: Fields; units are part of their names.
+    """
+    write(event, fields)
--- /dev/null
+++ b/siskinlug/metrics.py
@@ -0,0 +1,61 @@
+"""OpenTelemetry instruments, exported in Prometheus format on the admin port.
+
+Labels are routes, pools, verdicts and reasons, all bounded by the tables; never
+accounts or targets, of which there are thousands.
+"""
+
+from typing import NamedTuple
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import Counter, Histogram, UpDownCounter
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
+from prometheus_client import REGISTRY, generate_latest
+
+_SECONDS_BUCKETS = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 5, 30)
+
+
+class Metrics(NamedTuple):
+    """Instruments of one daemon.
+
+    Attributes:
+        requests: Requests answered to callers, by route, status class and verdict.
+        refusals: Refusals to callers, by reason.
+        attempts: Attempts sent to targets, by route and outcome.
+        retries: Attempts after the first, by pool.
+        limits: Times a limit was hit, by its name.
+        duration: Seconds from a caller's request head to the answer's end, by route.
+        in_flight: Requests of callers being served.
+    """
+
+    requests: Counter
+    refusals: Counter
+    attempts: Counter
+    retries: Counter
+    limits: Counter
+    duration: Histogram
+    in_flight: UpDownCounter
+
+
+def make_metrics() -> Metrics:
+    """Create the instruments; once for each process."""
+    view = View(
+        instrument_name="siskinlug.request.duration",
+        aggregation=ExplicitBucketHistogramAggregation(_SECONDS_BUCKETS),
+    )
+    provider = MeterProvider(metric_readers=[PrometheusMetricReader()], views=[view])
+    meter = provider.get_meter("siskinlug")
+    return Metrics(
+        requests=meter.create_counter("siskinlug.requests", unit="1"),
+        refusals=meter.create_counter("siskinlug.refusals", unit="1"),
+        attempts=meter.create_counter("siskinlug.attempts", unit="1"),
+        retries=meter.create_counter("siskinlug.retries", unit="1"),
+        limits=meter.create_counter("siskinlug.limits", unit="1"),
+        duration=meter.create_histogram("siskinlug.request.duration", unit="s"),
+        in_flight=meter.create_up_down_counter("siskinlug.in_flight", unit="1"),
+    )
+
+
+def export_metrics() -> bytes:
+    """Return all metrics in the Prometheus text format."""
+    return generate_latest(REGISTRY)
--- /dev/null
+++ b/siskinlug/owner.py
@@ -0,0 +1,335 @@
+"""Owner role: the only process that sends requests to the targets beside it."""
+
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from typing import NamedTuple
+
+from returns.result import Failure, Result, Success
+from tornado.httputil import HTTPHeaders
+
+from siskinlug.admission import Slot, Ticket, load_report, open_slot
+from siskinlug.announcements import Owned, OwnedTargets
+from siskinlug.attempts import Attempts, begin, finish, mark_started
+from siskinlug.body import BodyStream
+from siskinlug.connections import (
+    IDLE_MAX_S,
+    NON_IDEMPOTENT_IDLE_MAX_S,
+    Connection,
+    ConnectionPool,
+    open_connection,
+)
+from siskinlug.evidence import Outcome, observe
+from siskinlug.exchange import (
+    Answer,
+    ExchangeFailure,
+    RequestHead,
+    end_to_end,
+    exchange,
+    has_length,
+)
+from siskinlug.load import LoadReport
+from siskinlug.quarantine import Quarantine, standing
+from siskinlug.verdict import Reason, Refusal, Verdict, may_have_run, not_run
+
+# Header by which a target says that it shed a request without starting it.
+SHED_HEADER = "X-Shed"
+# Header by which a target learns the time left for its answer.
+DEADLINE_HEADER = "X-Request-Deadline-Ms"
+
+_REASON_BY_CAUSE = {
+    "reset": Reason.TARGET_RESET,
+    "silent": Reason.TARGET_SILENT,
+    "malformed": Reason.TARGET_RESET,
+    "body_cut": Reason.CANCELLED,
+}
+
+
+class AttemptRequest(NamedTuple):
+    """What an entry says of an attempt.
+
+    Attributes:
+        attempt: Attempt id, unique in the fleet.
+        target: Target id.
+        route: Route name.
+        account: Account of the caller, empty if unknown.
+        priority: 0 is served first, 9 last.
+        long_work: Whether the entry classed the request as long work.
+        idempotent: Whether the request may be run more than once.
+        deadline: Time on the owner's monotonic clock until which an answer helps.
+        baseline_s: Median service time of the route at other targets, if known.
+        fingerprint: Fingerprint of the request for quarantine.
+    """
+
+    attempt: str
+    target: str
+    route: str
+    account: str
+    priority: int
+    long_work: bool
+    idempotent: bool
+    deadline: float
+    baseline_s: float | None
+    fingerprint: str
+
+
+class Owner:
+    """State of the owner role of one process."""
+
+    def __init__(
+        self,
+        *,
+        targets: OwnedTargets,
+        attempts: Attempts,
+        quarantine: Quarantine,
+        connections: ConnectionPool,
+        is_ejected: Callable[[str, str], bool],
+        monotonic: Callable[[], float],
+    ) -> None:
+        self.targets = targets
+        self.attempts = attempts
+        self.quarantine = quarantine
+        self.connections = connections
+        self.is_ejected = is_ejected
+        self.monotonic = monotonic
+        self.leaving = False
+        self.fingerprints_by_target: dict[str, dict[str, str]] = {}
+        self.on_crash: Callable[[str, list[str]], None] = lambda _target, _prints: None
+
+
+def load_of(owner: Owner, target: str) -> LoadReport | None:
+    """Return the load of an owned target."""
+    owned = owner.targets.owned_by_target.get(target)
+    return load_report(owned.admission) if owned else None
+
+
+@asynccontextmanager
+async def open_attempt(
+    owner: Owner, request: AttemptRequest, head: RequestHead, body: BodyStream
+) -> AsyncIterator[Result[Answer, Refusal]]:
+    """Run one attempt on a target of this node.
+
+    Args:
+        owner: The owner role.
+        request: The attempt.
+        head: The request as the target shall get it.
+        body: Its body.
+
+    Yields:
+        The target's answer, or a refusal whose verdict is certain: ``NOT_RUN`` only
+        if no byte of the request went to the target or the target itself said so.
+    """
+    if refusal := _refusal_before_queue(owner, request):
+        yield Failure(refusal)
+        return
+    begun = begin(owner.attempts, request.attempt)
+    if isinstance(begun, Failure):
+        yield Failure(begun.failure())
+        return
+    ended = Verdict.NOT_RUN
+    try:
+        owned = owner.targets.owned_by_target[request.target]
+        ticket = Ticket(
+            attempt=request.attempt,
+            route=request.route,
+            account=request.account,
+            priority=request.priority,
+            long_work=request.long_work,
+            deadline=request.deadline,
+        )
+        async with open_slot(owned.admission, ticket) as admitted:
+            if isinstance(admitted, Failure):
+                yield Failure(admitted.failure())
+                return
+            slot = admitted.unwrap()
+            if refusal := _refusal_after_queue(owner, request, owned):
+                slot.finish(status=None, service_s=0.0, shed=False)
+                yield Failure(refusal)
+                return
+            # From here on the request may run, also if this task is cancelled.
+            ended = Verdict.MAY_HAVE_RUN
+            async with _run(owner, request, owned, slot, head, body) as result:
+                if isinstance(result, Success):
+                    ended = Verdict.RAN
+                else:
+                    ended = result.failure().verdict
+                yield result
+    finally:
+        finish(owner.attempts, request.attempt, ended)
+
+
+def _refusal_before_queue(owner: Owner, request: AttemptRequest) -> Refusal | None:
+    if owner.leaving:
+        return not_run(Reason.NODE_LEAVING)
+    owned = owner.targets.owned_by_target.get(request.target)
+    if owned is None:
+        return not_run(Reason.TARGET_UNKNOWN, f"{request.target} is not here")
+    if owner.targets.with_lease(request.target) is None:
+        return not_run(Reason.LEASE_LAPSED, f"{request.target} has not renewed")
+    if owned.announcement["state"] == "leaving":
+        return not_run(Reason.TARGET_LEAVING, f"{request.target} is leaving")
+    if owner.is_ejected(request.target, request.route):
+        return not_run(Reason.TARGET_EJECTED, f"{request.target} is ejected")
+    if request.deadline <= owner.monotonic():
+        return not_run(Reason.DEADLINE)
+    return _quarantine_refusal(owner, request)
+
+
+def _quarantine_refusal(owner: Owner, request: AttemptRequest) -> Refusal | None:
+    known = standing(owner.quarantine, request.fingerprint)
+    if known == "refused":
+        return not_run(Reason.QUARANTINED, "the request crashed two targets")
+    running = owner.fingerprints_by_target.get(request.target, {})
+    others = [
+        standing(owner.quarantine, fingerprint) for fingerprint in running.values()
+    ]
+    if (known == "suspect" and others) or "suspect" in others:
+        # A suspect runs alone, so that a second crash has one possible cause.
+        return not_run(Reason.QUEUE_FULL, "a suspect request runs alone")
+    return None
+
+
+def _refusal_after_queue(
+    owner: Owner, request: AttemptRequest, queued_for: Owned
+) -> Refusal | None:
+    """Check again what may have changed in the queue or during a pause."""
+    owned = owner.targets.with_lease(request.target)
+    if owned is None:
+        return not_run(Reason.LEASE_LAPSED, f"{request.target} has not renewed")
+    if owned.announcement["incarnation"] != queued_for.announcement["incarnation"]:
+        return not_run(Reason.TARGET_UNKNOWN, f"{request.target} has restarted")
+    if owned.announcement["state"] == "leaving":
+        return not_run(Reason.TARGET_LEAVING, f"{request.target} is leaving")
+    if request.deadline <= owner.monotonic():
+        return not_run(Reason.DEADLINE)
+    if refusal := _quarantine_refusal(owner, request):
+        return refusal
+    started = mark_started(owner.attempts, request.attempt)
+    if isinstance(started, Failure):
+        return started.failure()
+    return None
+
+
+@asynccontextmanager
+async def _run(
+    owner: Owner,
+    request: AttemptRequest,
+    owned: Owned,
+    slot: Slot,
+    head: RequestHead,
+    body: BodyStream,
+) -> AsyncIterator[Result[Answer, Refusal]]:
+    """Exchange with the target and record what it showed."""
+    announcement = owned.announcement
+    address = (announcement["host"], announcement["port"])
+    idle_s = IDLE_MAX_S if request.idempotent else NON_IDEMPOTENT_IDLE_MAX_S
+    started_at = owner.monotonic()
+    left_s = request.deadline - started_at
+    async with open_connection(
+        owner.connections, address, max_idle_s=idle_s, timeout_s=min(1.0, left_s)
+    ) as connected:
+        if isinstance(connected, Failure):
+            slot.finish(status=None, service_s=0.0, shed=False)
+            _observe(owner, request, owned, ok=False, hard=True, service_s=0.0)
+            detail = f"{request.target}: {connected.failure().cause}"
+            yield Failure(not_run(Reason.TARGET_UNREACHABLE, detail))
+            return
+        connection = connected.unwrap()
+        running = owner.fingerprints_by_target.setdefault(request.target, {})
+        running[request.attempt] = request.fingerprint
+        try:
+            async with _exchange(owner, request, connection, head, body) as result:
+                if isinstance(result, Failure):
+                    yield Failure(_lost(owner, request, owned, slot, result.failure()))
+                    return
+                answer = result.unwrap()
+                if answer.status == 503 and answer.headers.get(SHED_HEADER):
+                    slot.finish(status=503, service_s=0.0, shed=True)
+                    yield Failure(not_run(Reason.TARGET_SHED, request.target))
+                    return
+                # Time to the head: the rest may wait for a slow caller.
+                service_s = owner.monotonic() - started_at
+                answer.headers["Siskinlug-Service-Ms"] = f"{service_s * 1000:.2f}"
+                yield Success(answer)
+                slot.finish(status=answer.status, service_s=service_s, shed=False)
+                _observe(
+                    owner,
+                    request,
+                    owned,
+                    ok=answer.status < 500 and not answer.body.cut,
+                    hard=answer.body.cut,
+                    service_s=service_s,
+                )
+        finally:
+            running.pop(request.attempt, None)
+
+
+@asynccontextmanager
+async def _exchange(
+    owner: Owner,
+    request: AttemptRequest,
+    connection: Connection,
+    head: RequestHead,
+    body: BodyStream,
+) -> AsyncIterator[Result[Answer, ExchangeFailure]]:
+    left_s = request.deadline - owner.monotonic()
+    headers = end_to_end(head.headers)
+    for name in [name for name in headers if name.startswith("Siskinlug-")]:
+        del headers[name]
+    headers[DEADLINE_HEADER] = str(max(1, int(left_s * 1000)))
+    to_target = RequestHead(head.method, head.path, headers)
+    async with exchange(connection, to_target, body, first_byte_s=left_s) as result:
+        if isinstance(result, Success):
+            answer = result.unwrap()
+            _drop_internal_headers(answer.headers)
+            if not has_length(head.method, answer):
+                # Without a length a cut answer would look like a whole one.
+                yield Failure(ExchangeFailure(True, "malformed"))
+                return
+        yield result
+
+
+def _drop_internal_headers(headers: HTTPHeaders) -> None:
+    for name in [name for name in headers if name.startswith("Siskinlug-")]:
+        del headers[name]
+
+
+def _lost(
+    owner: Owner,
+    request: AttemptRequest,
+    owned: Owned,
+    slot: Slot,
+    failure: ExchangeFailure,
+) -> Refusal:
+    """Record an exchange without an answer and return its refusal."""
+    late = owner.monotonic() >= request.deadline
+    slot.finish(status=None, service_s=0.0, shed=False)
+    if failure.cause != "body_cut":
+        _observe(owner, request, owned, ok=False, hard=True, service_s=0.0)
+    if failure.cause == "reset":
+        running = owner.fingerprints_by_target.get(request.target, {})
+        owner.on_crash(request.target, list(running.values()))
+    reason = _REASON_BY_CAUSE[failure.cause]
+    if failure.cause == "silent" and late:
+        reason = Reason.DEADLINE
+    return may_have_run(reason, f"{request.target}: {failure.cause}")
+
+
+def _observe(
+    owner: Owner,
+    request: AttemptRequest,
+    owned: Owned,
+    *,
+    ok: bool,
+    hard: bool,
+    service_s: float,
+) -> None:
+    observe(
+        owned.evidence,
+        Outcome(
+            route=request.route,
+            ok=ok,
+            hard=hard,
+            service_s=service_s,
+            baseline_s=request.baseline_s,
+        ),
+    )
--- /dev/null
+++ b/siskinlug/peer_server.py
@@ -0,0 +1,143 @@
+"""Port between nodes: attempts of other entries, announcements and control."""
+
+import hmac
+from collections.abc import Awaitable, Callable, Mapping
+
+import msgspec
+from absl import logging
+from returns.result import Failure, Success
+from tornado.httputil import HTTPHeaders
+
+from siskinlug.body import BodyStream
+from siskinlug.inbound import Inbound, Serve, send_answer, stream_answer
+from siskinlug.load import encode_load
+from siskinlug.logs import log_event
+from siskinlug.owner import AttemptRequest, Owner, load_of, open_attempt
+from siskinlug.verdict import Reason, Refusal, not_run
+
+MAX_MESSAGE_BYTES = 4 << 20
+TOKEN_HEADER = "Siskinlug-Token"
+
+# From a decoded body to the answer's body; raises ``msgspec.MsgspecError`` or
+# ``ValueError`` for a message of the wrong shape.
+Handler = Callable[[bytes], Awaitable[bytes]]
+
+
+def has_token(headers: HTTPHeaders, token: str) -> bool:
+    """Whether the request carries the shared token; compared in constant time."""
+    given = headers.get(TOKEN_HEADER) or headers.get(
+        "Authorization", ""
+    ).removeprefix("Bearer ")
+    return hmac.compare_digest(given.encode(), token.encode())
+
+
+def make_peer_server(
+    owner: Owner, *, token: str, handler_by_path: Mapping[str, Handler]
+) -> Serve:
+    """Build the function that serves one request on the port between nodes.
+
+    Args:
+        owner: The owner role, for attempts.
+        token: Shared key.
+        handler_by_path: Handlers of control messages.
+    """
+
+    async def serve_peer(inbound: Inbound) -> None:
+        if not has_token(inbound.head.headers, token):
+            log_event(
+                "peer_unauthorized", write=logging.warning, remote=inbound.remote_ip
+            )
+            await send_answer(inbound, 401, HTTPHeaders(), b'{"error":"token"}')
+        elif "Siskinlug-Attempt" in inbound.head.headers:
+            await serve_attempt(owner, inbound)
+        else:
+            await _serve_message(handler_by_path, inbound)
+
+    return serve_peer
+
+
+async def _serve_message(
+    handler_by_path: Mapping[str, Handler], inbound: Inbound
+) -> None:
+    handler = handler_by_path.get(inbound.head.path.partition("?")[0])
+    if handler is None or inbound.head.method != "POST":
+        await send_answer(inbound, 404, HTTPHeaders(), b'{"error":"unknown path"}')
+        return
+    body = await _read_all(inbound.body)
+    headers = HTTPHeaders({"Content-Type": "application/json"})
+    try:
+        answer = await handler(body)
+    except (msgspec.MsgspecError, ValueError) as error:
+        problem = msgspec.json.encode({"error": str(error)})
+        await send_answer(inbound, 400, headers, problem)
+        return
+    await send_answer(inbound, 200, headers, answer)
+
+
+async def _read_all(body: BodyStream) -> bytes:
+    await body.wait_whole()
+    if not body.can_replay:
+        raise ValueError(f"message above {MAX_MESSAGE_BYTES} bytes")
+    return body.kept
+
+
+async def serve_attempt(owner: Owner, inbound: Inbound) -> None:
+    """Run an attempt that another node's entry sent and pass its answer back."""
+    try:
+        request = read_attempt(inbound.head.headers, owner.monotonic())
+    except ValueError as error:
+        refusal = not_run(Reason.BAD_REQUEST, str(error))
+        await _send_attempt_refusal(owner, inbound, refusal, "")
+        return
+    async with open_attempt(owner, request, inbound.head, inbound.body) as result:
+        if isinstance(result, Success):
+            extra = _load_header(owner, request.target)
+            await stream_answer(inbound, result.unwrap(), extra)
+    if isinstance(result, Failure):
+        await _send_attempt_refusal(owner, inbound, result.failure(), request.target)
+
+
+def _load_header(owner: Owner, target: str) -> HTTPHeaders:
+    load = load_of(owner, target)
+    return HTTPHeaders({"Siskinlug-Load": encode_load(load)} if load else {})
+
+
+async def _send_attempt_refusal(
+    owner: Owner, inbound: Inbound, refusal: Refusal, target: str
+) -> None:
+    headers = _load_header(owner, target)
+    headers["Siskinlug-Verdict"] = refusal.verdict.value
+    headers["Siskinlug-Reason"] = refusal.reason.value
+    if refusal.detail:
+        headers["Siskinlug-Detail"] = refusal.detail
+    if refusal.retry_after_s is not None:
+        headers["Retry-After"] = f"{refusal.retry_after_s:.3f}"
+    await send_answer(inbound, refusal.status, headers)
+
+
+def read_attempt(headers: HTTPHeaders, now: float) -> AttemptRequest:
+    """Read the headers of an attempt.
+
+    Args:
+        headers: Headers as ``entry.attempt_headers`` writes them.
+        now: Monotonic time of this node, from which the time left counts.
+
+    Raises:
+        ValueError: A header is missing or malformed.
+    """
+    try:
+        baseline = headers.get("Siskinlug-Baseline-Ms")
+        return AttemptRequest(
+            attempt=headers["Siskinlug-Attempt"],
+            target=headers["Siskinlug-Target"],
+            route=headers["Siskinlug-Route"],
+            account=headers["Siskinlug-Account"],
+            priority=int(headers["Siskinlug-Priority"]),
+            long_work=headers["Siskinlug-Work"] == "long",
+            idempotent=headers["Siskinlug-Idempotent"] == "yes",
+            deadline=now + int(headers["Siskinlug-Deadline-Ms"]) / 1000,
+            baseline_s=float(baseline) / 1000 if baseline else None,
+            fingerprint=headers["Siskinlug-Fingerprint"],
+        )
+    except KeyError as error:
+        raise ValueError(f"header {error} is missing") from None
