--- /dev/null
+++ b/siskinlug/admission.py
@@ -0,0 +1,590 @@
+"""Admission to one target: slots, bounded queue, fair shares, adaptive limit."""
+
+import asyncio
+import math
+from bisect import insort
+from collections import Counter, OrderedDict
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from random import Random
+from typing import NamedTuple
+
+from returns.result import Failure, Result, Success
+
+from siskinlug.load import LoadReport
+from siskinlug.service_times import Quantile
+from siskinlug.verdict import Reason, Refusal, not_run
+
+# A queue that has not been empty for this long is standing, not a burst
+# (Nichols and Jacobson, CoDel, 2012).
+STANDING_AFTER_S = 0.1
+# Longest wait in a standing queue, relative to the p99 of short service times: the
+# p99 of wait and service together then stays within twice that of service alone.
+STANDING_WAIT_RATIO = 0.5
+STANDING_WAIT_MIN_S = 0.005
+# Accounts whose service is ahead of the others; all others need no memory.
+MAX_ACCOUNTS = 256
+MAX_ROUTES = 64
+# A target's limit never goes below two slots, or long work could hold all of it.
+LIMIT_MIN = 2
+SHED_FACTOR = 0.7
+SLOW_FACTOR = 0.9
+# Recent over usual service time above which the target counts as slow.
+SLOW_RATIO = 2.0
+# Time over which demand for short work is averaged to size the reserve.
+DEMAND_S = 2.0
+
+
+class Ticket(NamedTuple):
+    """One attempt that asks for a slot.
+
+    Attributes:
+        attempt: Attempt id.
+        route: Route name.
+        account: Account that shares are kept for.
+        priority: 0 is served first, 9 last.
+        long_work: Whether the request counts as long work.
+        deadline: Deadline on the monotonic clock.
+    """
+
+    attempt: str
+    route: str
+    account: str
+    priority: int
+    long_work: bool
+    deadline: float
+
+
+class _RouteTimes:
+    """Recent and usual service time of one route at the target."""
+
+    __slots__ = ("recent", "usual")
+
+    def __init__(self) -> None:
+        self.recent = Quantile(0.5, step=0.1)
+        # Forgets a factor of five in about 600 answers, so that a lasting change
+        # becomes the usual and the limit recovers.
+        self.usual = Quantile(0.5, step=0.005)
+
+    def add(self, service_s: float) -> None:
+        self.recent.add(service_s)
+        self.usual.add(service_s)
+
+
+class _Waiting:
+    """A queued ticket."""
+
+    __slots__ = ("future", "since", "tag", "ticket", "timer")
+
+    def __init__(
+        self,
+        ticket: Ticket,
+        tag: float,
+        since: float,
+        future: "asyncio.Future[Result[Slot, Refusal]]",
+    ) -> None:
+        self.ticket = ticket
+        self.tag = tag
+        self.since = since
+        self.future = future
+        self.timer: asyncio.TimerHandle | None = None
+
+    @property
+    def order(self) -> tuple[int, float, float]:
+        return self.ticket.priority, self.tag, self.since
+
+    def __lt__(self, other: "_Waiting") -> bool:
+        return self.order < other.order
+
+
+class _FairQueue:
+    """Queue by priority, then by start-time fair queueing between accounts.
+
+    Start-time fair queueing (Goyal, Vin and Cheng, 1996) with unit cost: a ticket's
+    tag is the account's next start or the virtual time, whichever is later. Accounts
+    that are not ahead of the virtual time need no memory.
+    """
+
+    def __init__(self) -> None:
+        self.waiting: list[_Waiting] = []
+        self.virtual = 0.0
+        self.next_by_account: OrderedDict[str, float] = OrderedDict()
+
+    def tag(self, account: str) -> float:
+        return max(self.next_by_account.get(account, 0.0), self.virtual)
+
+    def charge(self, account: str, tag: float) -> None:
+        """Count one ticket of an account from its tag on."""
+        self.next_by_account[account] = tag + 1.0
+        self.next_by_account.move_to_end(account)
+        if len(self.next_by_account) > MAX_ACCOUNTS:
+            ahead = {a: n for a, n in self.next_by_account.items() if n > self.virtual}
+            self.next_by_account = OrderedDict(ahead)
+        while len(self.next_by_account) > MAX_ACCOUNTS:
+            self.next_by_account.popitem(last=False)
+
+    def refund(self, account: str) -> None:
+        """Take back the charge of a ticket that was not run."""
+        if account in self.next_by_account:
+            self.next_by_account[account] -= 1.0
+
+    def push(self, waiting: _Waiting) -> None:
+        insort(self.waiting, waiting)
+        self.charge(waiting.ticket.account, waiting.tag)
+
+    def pop(self) -> _Waiting:
+        waiting = self.waiting.pop(0)
+        self.virtual = max(self.virtual, waiting.tag)
+        return waiting
+
+    def remove(self, waiting: _Waiting) -> bool:
+        try:
+            self.waiting.remove(waiting)
+        except ValueError:
+            return False
+        self.refund(waiting.ticket.account)
+        return True
+
+
+class Slot:
+    """A slot of the target, held while one attempt runs."""
+
+    def __init__(self, admission: "Admission", ticket: Ticket, started: float) -> None:
+        self.admission = admission
+        self.ticket = ticket
+        self.started = started
+        self._held = True
+
+    def finish(self, status: int | None, service_s: float, shed: bool) -> None:
+        """Report how the attempt ended; feeds the adaptive limit.
+
+        Args:
+            status: HTTP status of the answer, ``None`` if there was none.
+            service_s: Time at the target in seconds.
+            shed: Whether the target refused the request for load.
+        """
+        self.admission.note_answer(self, status, service_s, shed)
+
+    def release(self) -> None:
+        """Give the slot back, once."""
+        if self._held:
+            self._held = False
+            self.admission.release(self)
+
+
+class Admission:
+    """State of admission to one target; see ``open_slot``.
+
+    Attributes:
+        slots: Slots that the target announced, capped by the pools table.
+        limit: Slots used now, as adapted; fractional between steps.
+        in_use: Slots taken.
+        long_in_use: Slots taken by long work.
+        count: Counters by reason code, and of ``admitted``.
+    """
+
+    def __init__(
+        self,
+        *,
+        target: str,
+        slots: int,
+        queue: int,
+        queue_wait_s: float,
+        monotonic: Callable[[], float],
+        random: Random,
+    ) -> None:
+        self.target = target
+        self.slots = slots
+        self.queue = queue
+        self.queue_wait_s = queue_wait_s
+        self.monotonic = monotonic
+        self.random = random
+        self.in_use = 0
+        self.long_in_use = 0
+        self.count: Counter[str] = Counter()
+        self.closed: Reason | None = None
+        # A target that has just started may still be loading its caches.
+        self.limit = float(max(self.limit_min, math.ceil(slots / 2)))
+        self._queue_by_class = {False: _FairQueue(), True: _FairQueue()}
+        self._times_by_route: OrderedDict[str, _RouteTimes] = OrderedDict()
+        self._p50 = Quantile(0.5, step=0.02)
+        self._p99 = Quantile(0.99, step=0.05)
+        self._mean_by_class = {False: 0.0, True: 0.0}
+        self._lowered = monotonic()
+        self._queue_empty = monotonic()
+        self._demand = 0.0
+        self._demand_at = monotonic()
+
+    @property
+    def limit_min(self) -> int:
+        """The lowest limit."""
+        return min(LIMIT_MIN, self.slots)
+
+    @property
+    def limit_now(self) -> int:
+        """Whole slots that may be in use now."""
+        return max(min(int(self.limit), self.slots), 0)
+
+    @property
+    def queued(self) -> int:
+        """Tickets waiting."""
+        return sum(len(q.waiting) for q in self._queue_by_class.values())
+
+    @property
+    def reserve(self) -> int:
+        """Slots that long work must leave free.
+
+        At least one where there are two, and more as short work needs them, but
+        long work always keeps one.
+        """
+        if self.limit_now <= 1:
+            return 0
+        need = math.ceil(self._demand + math.sqrt(self._demand))
+        return min(max(need, 1), self.limit_now - 1)
+
+    def expected_wait_s(self, ticket: Ticket) -> float:
+        """Return the expected wait of a ticket that arrives now, in seconds."""
+        queue = self._queue_by_class[ticket.long_work]
+        if self._may_start(ticket.long_work) and not queue.waiting:
+            return 0.0
+        key = (ticket.priority, queue.tag(ticket.account), math.inf)
+        ahead = sum(1 for waiting in queue.waiting if waiting.order < key)
+        if ticket.long_work:
+            servers = self.limit_now - self.reserve
+        else:
+            servers = self.limit_now - self.long_in_use
+        mean = self._mean_by_class[ticket.long_work]
+        return (ahead + 1) * mean / max(servers, 1)
+
+    def allowed_wait_s(self) -> float:
+        """Return the longest wait allowed now, in seconds."""
+        if self.monotonic() - self._queue_empty < STANDING_AFTER_S:
+            return self.queue_wait_s
+        standing = max(self._p99.value * STANDING_WAIT_RATIO, STANDING_WAIT_MIN_S)
+        return min(self.queue_wait_s, standing)
+
+    async def enter(self, ticket: Ticket) -> Result[Slot, Refusal]:
+        """Wait for a slot; use ``open_slot``, which also gives it back."""
+        refusal = self._refuse_on_arrival(ticket)
+        if refusal is not None:
+            self.count[refusal.reason.value] += 1
+            return Failure(refusal)
+        now = self.monotonic()
+        queue = self._queue_by_class[ticket.long_work]
+        if not queue.waiting and self._may_start(ticket.long_work):
+            tag = queue.tag(ticket.account)
+            queue.charge(ticket.account, tag)
+            queue.virtual = max(queue.virtual, tag)
+            return Success(self._start(ticket, now))
+        self._note_demand()
+        loop = asyncio.get_running_loop()
+        waiting = _Waiting(ticket, queue.tag(ticket.account), now, loop.create_future())
+        if not self.queued:
+            self._queue_empty = now
+        queue.push(waiting)
+        longest = min(self.queue_wait_s, max(ticket.deadline - now, 0.0))
+        waiting.timer = loop.call_later(longest, self._expire, waiting)
+        try:
+            return await waiting.future
+        except asyncio.CancelledError:
+            self._withdraw(waiting)
+            raise
+        finally:
+            waiting.timer.cancel()
+
+    def note_answer(
+        self, slot: Slot, status: int | None, service_s: float, shed: bool
+    ) -> None:
+        """Adapt the limit and the learned times to one answer."""
+        if shed:
+            self._lower(slot, SHED_FACTOR)
+            return
+        # Errors and lost answers say nothing about service time: a target that
+        # fails at once would look fast and attract more work.
+        if status is None or status >= 500:
+            return
+        mean = self._mean_by_class[slot.ticket.long_work]
+        weight = 0.05 if mean else 1.0
+        self._mean_by_class[slot.ticket.long_work] += weight * (service_s - mean)
+        if slot.ticket.long_work:
+            return
+        self._p50.add(service_s)
+        self._p99.add(service_s)
+        times = self._times_by_route.get(slot.ticket.route)
+        if times is None:
+            times = self._times_by_route[slot.ticket.route] = _RouteTimes()
+            if len(self._times_by_route) > MAX_ROUTES:
+                self._times_by_route.popitem(last=False)
+        self._times_by_route.move_to_end(slot.ticket.route)
+        times.add(service_s)
+        if times.recent.value > SLOW_RATIO * times.usual.value:
+            self._lower(slot, SLOW_FACTOR)
+        else:
+            self.limit = min(self.limit + 1.0 / max(self.limit, 1.0), self.slots)
+
+    def release(self, slot: Slot) -> None:
+        """Free a slot and start what waits for it."""
+        self._note_demand()
+        self.in_use -= 1
+        self.long_in_use -= slot.ticket.long_work
+        self.dispatch()
+
+    def dispatch(self) -> None:
+        """Start queued tickets while there are slots for them."""
+        while (queue := self._next_queue()) is not None:
+            self._note_demand()
+            waiting = queue.pop()
+            now = self.monotonic()
+            refusal = self._refuse_on_start(waiting, now)
+            if refusal is not None:
+                queue.refund(waiting.ticket.account)
+                self._settle(waiting, Failure(refusal))
+            else:
+                self._settle(waiting, Success(self._start(waiting.ticket, now)))
+        if not self.queued:
+            self._queue_empty = self.monotonic()
+
+    def refuse_queued(self, reason: Reason) -> None:
+        """Refuse all that is queued as not run."""
+        self._note_demand()
+        for queue in self._queue_by_class.values():
+            while queue.waiting:
+                waiting = queue.waiting.pop()
+                queue.refund(waiting.ticket.account)
+                self._settle(waiting, Failure(not_run(reason)))
+
+    def _may_start(self, long_work: bool) -> bool:
+        if self.in_use >= self.limit_now:
+            return False
+        return not long_work or self.long_in_use < self.limit_now - self.reserve
+
+    def _start(self, ticket: Ticket, now: float) -> Slot:
+        self._note_demand()
+        self.in_use += 1
+        self.long_in_use += ticket.long_work
+        self.count["admitted"] += 1
+        return Slot(self, ticket, now)
+
+    def _next_queue(self) -> _FairQueue | None:
+        """Return the queue whose head starts next, if any may start."""
+        heads = [
+            (queue.waiting[0].ticket.priority, self._class_rank(long_work), queue)
+            for long_work, queue in self._queue_by_class.items()
+            if queue.waiting and self._may_start(long_work)
+        ]
+        return min(heads, key=lambda head: head[:2])[2] if heads else None
+
+    def _class_rank(self, long_work: bool) -> int:
+        # Long work goes first while none runs, so that it finishes even where short
+        # work alone could fill the target.
+        if long_work:
+            return 0 if self.long_in_use == 0 else 2
+        return 1
+
+    def _refuse_on_arrival(self, ticket: Ticket) -> Refusal | None:
+        if self.closed is not None:
+            return not_run(self.closed)
+        now = self.monotonic()
+        wait_s = self.expected_wait_s(ticket)
+        if now + wait_s + self._usual_s(ticket) > ticket.deadline:
+            return not_run(
+                Reason.DEADLINE, "cannot finish before the deadline at this target"
+            )
+        queue = self._queue_by_class[ticket.long_work]
+        if self._may_start(ticket.long_work) and not queue.waiting:
+            return None
+        long_wait = not ticket.long_work and wait_s > self.allowed_wait_s()
+        if self.queued < self.queue and not long_wait:
+            return None
+        if self._evict_for(ticket, queue):
+            return None
+        return not_run(
+            Reason.QUEUE_FULL,
+            f"{self.queued} requests wait at this target",
+            retry_after_s=self._retry_after_s(wait_s),
+        )
+
+    def _evict_for(self, ticket: Ticket, queue: _FairQueue) -> bool:
+        """Refuse the last queued ticket if it comes after this one."""
+        if not queue.waiting:
+            return False
+        last = queue.waiting[-1]
+        if (ticket.priority, queue.tag(ticket.account)) >= last.order[:2]:
+            return False
+        queue.remove(last)
+        refusal = not_run(
+            Reason.QUEUE_FULL,
+            "displaced by an account below its share or a request of higher priority",
+            retry_after_s=self._retry_after_s(self.expected_wait_s(last.ticket)),
+        )
+        self._settle(last, Failure(refusal))
+        return True
+
+    def _refuse_on_start(self, waiting: _Waiting, now: float) -> Refusal | None:
+        if now + self._usual_s(waiting.ticket) > waiting.ticket.deadline:
+            return not_run(
+                Reason.DEADLINE, "could no longer finish before the deadline"
+            )
+        waited = now - waiting.since
+        if not waiting.ticket.long_work and waited > self.allowed_wait_s():
+            return not_run(
+                Reason.QUEUE_TIMEOUT,
+                f"waited {waited:.3f} s in a standing queue",
+                retry_after_s=self._retry_after_s(waited),
+            )
+        return None
+
+    def _expire(self, waiting: _Waiting) -> None:
+        queue = self._queue_by_class[waiting.ticket.long_work]
+        self._note_demand()
+        if not queue.remove(waiting):
+            return
+        waited = self.monotonic() - waiting.since
+        past = self.monotonic() >= waiting.ticket.deadline
+        reason = Reason.DEADLINE if past else Reason.QUEUE_TIMEOUT
+        refusal = not_run(
+            reason,
+            f"waited {waited:.3f} s in the queue",
+            retry_after_s=self._retry_after_s(waited),
+        )
+        self._settle(waiting, Failure(refusal))
+
+    def _withdraw(self, waiting: _Waiting) -> None:
+        """Remove a ticket whose task was cancelled, or free the slot it got."""
+        self._note_demand()
+        if self._queue_by_class[waiting.ticket.long_work].remove(waiting):
+            self.count[Reason.CANCELLED.value] += 1
+            return
+        if waiting.future.done() and not waiting.future.cancelled():
+            result = waiting.future.result()
+            if isinstance(result, Success):
+                result.unwrap().release()
+
+    def _settle(self, waiting: _Waiting, result: Result[Slot, Refusal]) -> None:
+        if waiting.future.done():
+            # The task was cancelled in this turn of the loop.
+            if isinstance(result, Success):
+                result.unwrap().release()
+            return
+        if isinstance(result, Failure):
+            self.count[result.failure().reason.value] += 1
+        waiting.future.set_result(result)
+
+    def _lower(self, slot: Slot, factor: float) -> None:
+        # Answers to requests started before the last step say nothing of its effect.
+        if slot.started < self._lowered:
+            return
+        self._lowered = self.monotonic()
+        self.limit = max(self.limit * factor, float(self.limit_min))
+
+    def _usual_s(self, ticket: Ticket) -> float:
+        times = self._times_by_route.get(ticket.route)
+        return times.usual.value if times is not None else 0.0
+
+    def _note_demand(self) -> None:
+        """Average the short work running and queued up to now."""
+        now = self.monotonic()
+        weight = 1.0 - math.exp((self._demand_at - now) / DEMAND_S)
+        short = self.in_use - self.long_in_use
+        short += len(self._queue_by_class[False].waiting)
+        self._demand += weight * (short - self._demand)
+        self._demand_at = now
+
+    def _retry_after_s(self, wait_s: float) -> float:
+        # Spread over a factor of three, so that refused callers do not return
+        # together.
+        return max(wait_s, 0.1) * self.random.uniform(0.5, 1.5)
+
+    def report(self) -> LoadReport:
+        """Return the load report for answers."""
+        probe = Ticket("", "", "", 5, False, math.inf)
+        return LoadReport(
+            self.target,
+            self.limit_now,
+            self.in_use,
+            self.queued,
+            self.expected_wait_s(probe) * 1000,
+            self._p50.value * 1000,
+        )
+
+
+def make_admission(
+    *,
+    target: str,
+    slots: int,
+    queue: int,
+    queue_wait_s: float,
+    monotonic: Callable[[], float],
+    random: Random | None = None,
+) -> Admission:
+    """Make the admission of one target; its owner is the only one to use it.
+
+    Args:
+        target: Target id.
+        slots: Requests the target takes at once.
+        queue: Requests that may wait.
+        queue_wait_s: Longest wait in seconds.
+        monotonic: Clock in seconds.
+        random: Source of the spread of Retry-After.
+    """
+    return Admission(
+        target=target,
+        slots=slots,
+        queue=queue,
+        queue_wait_s=queue_wait_s,
+        monotonic=monotonic,
+        random=random or Random(),
+    )
+
+
+@asynccontextmanager
+async def open_slot(
+    admission: Admission, ticket: Ticket
+) -> AsyncIterator[Result[Slot, Refusal]]:
+    """Wait for a slot and hold it for the body of the ``async with``.
+
+    Args:
+        admission: The target's admission.
+        ticket: The attempt.
+
+    Yields:
+        The slot, or a refusal that says the attempt was not run. A task cancelled
+        while it waits leaves nothing behind.
+    """
+    result = await admission.enter(ticket)
+    try:
+        yield result
+    finally:
+        if isinstance(result, Success):
+            result.unwrap().release()
+
+
+def load_report(admission: Admission) -> LoadReport:
+    """Return the load report for answers of this target."""
+    return admission.report()
+
+
+def close(admission: Admission, reason: Reason = Reason.NODE_LEAVING) -> None:
+    """Refuse all that is queued and all that arrives as not run.
+
+    Attempts in slots go on. Used for a planned stop, a target that leaves and a
+    lapsed lease.
+    """
+    admission.closed = reason
+    admission.refuse_queued(reason)
+
+
+def reopen(admission: Admission) -> None:
+    """Admit again, after a lapsed lease was renewed."""
+    admission.closed = None
+
+
+def resize(
+    admission: Admission, *, slots: int, queue: int, queue_wait_s: float
+) -> None:
+    """Apply changed slots of the target or a changed pools table."""
+    admission.slots = slots
+    admission.limit = min(admission.limit, float(slots))
+    admission.queue = queue
+    admission.queue_wait_s = queue_wait_s
+    admission.dispatch()
--- /dev/null
+++ b/siskinlug/retries.py
@@ -0,0 +1,175 @@
+"""Retry budget of a pool, the rule for retries and the rule for hedging."""
+
+from collections.abc import Callable
+
+from siskinlug.tables import Route
+from siskinlug.verdict import Reason, Refusal, Verdict
+
+# A planned stop returns queued requests that have done nothing wrong, so these
+# attempts spend no budget and are allowed on routes without retries.
+PLANNED_REASONS = frozenset(
+    {Reason.NODE_LEAVING, Reason.TARGET_LEAVING, Reason.LEASE_LAPSED}
+)
+PLANNED_ATTEMPTS = 3
+# Refusals that any other target would repeat.
+FINAL_REASONS = frozenset(
+    {
+        Reason.NO_CONFIGURATION,
+        Reason.NO_ROUTE,
+        Reason.ACCOUNT_RATE,
+        Reason.CANCELLED,
+        Reason.KEY_CLAIMED,
+        Reason.KEY_MISMATCH,
+        Reason.KEY_UNAVAILABLE,
+        Reason.QUARANTINED,
+        Reason.HEADERS_TOO_LARGE,
+        Reason.BODY_TOO_LARGE,
+        Reason.BAD_REQUEST,
+    }
+)
+# A request is hedged once it has run for this multiple of its route's median.
+HEDGE_RATIO = 10.0
+
+
+class RetryBudget:
+    """Credit for retries: a share of the pool's successes.
+
+    Attributes:
+        credit: Retries that may be spent now.
+        spent: Retries spent since the start.
+        denied: Retries denied for lack of credit since the start.
+    """
+
+    def __init__(
+        self, *, ratio: float, burst: float, monotonic: Callable[[], float]
+    ) -> None:
+        self.ratio = ratio
+        self.burst = float(burst)
+        self.monotonic = monotonic
+        self.credit = float(burst)
+        self.spent = 0
+        self.denied = 0
+        self._second = monotonic()
+        self._successes = 0
+        self._rate = 0.0
+
+    def note_success(self) -> None:
+        """Add the share of one success, up to the larger of burst and one second."""
+        now = self.monotonic()
+        if now - self._second >= 1.0:
+            self._rate = self._successes / (now - self._second)
+            self._second = now
+            self._successes = 0
+        self._successes += 1
+        most = max(self.burst, self.ratio * self._rate)
+        self.credit = min(self.credit + self.ratio, most)
+
+    def try_spend(self) -> bool:
+        """Spend one retry if there is credit for it."""
+        if self.credit < 1.0:
+            self.denied += 1
+            return False
+        self.credit -= 1.0
+        self.spent += 1
+        return True
+
+
+def make_retry_budget(
+    *, ratio: float = 0.1, burst: float = 10, monotonic: Callable[[], float]
+) -> RetryBudget:
+    """Make the retry budget of one pool at one entry.
+
+    Args:
+        ratio: Retries allowed for each success.
+        burst: Retries allowed before the first success.
+        monotonic: Clock in seconds.
+    """
+    return RetryBudget(ratio=ratio, burst=burst, monotonic=monotonic)
+
+
+def note_success(budget: RetryBudget) -> None:
+    """Count one success of the pool."""
+    budget.note_success()
+
+
+def try_spend(budget: RetryBudget) -> bool:
+    """Spend one retry, or return false if the budget has none."""
+    return budget.try_spend()
+
+
+def may_retry(
+    route: Route,
+    refusal: Refusal,
+    *,
+    attempt: int,
+    now: float,
+    deadline: float,
+    expected_s: float,
+    budget: RetryBudget,
+) -> bool:
+    """Decide on another attempt, and spend the budget for it.
+
+    Args:
+        route: The route of the request.
+        refusal: How the last attempt ended.
+        attempt: Attempts made so far, 1 after the first.
+        now: Time on the monotonic clock.
+        deadline: Deadline on the same clock.
+        expected_s: Expected duration of another attempt in seconds.
+        budget: The pool's retry budget.
+
+    Returns:
+        Whether to make another attempt.
+    """
+    if refusal.verdict is Verdict.RAN or refusal.reason in FINAL_REASONS:
+        return False
+    if refusal.verdict is Verdict.MAY_HAVE_RUN and not route.idempotent:
+        return False
+    if now + expected_s > deadline:
+        return False
+    if refusal.verdict is Verdict.NOT_RUN and refusal.reason in PLANNED_REASONS:
+        return attempt <= max(route.retries, PLANNED_ATTEMPTS)
+    return attempt <= route.retries and budget.try_spend()
+
+
+def hedge_after_s(route: Route, *, long_work: bool, usual_s: float) -> float | None:
+    """Return how long a first attempt runs before it is hedged.
+
+    Args:
+        route: The route of the request.
+        long_work: Whether the request counts as long work.
+        usual_s: Median service time of the route in seconds, 0 if unknown.
+
+    Returns:
+        Seconds, or ``None`` if the request is never hedged.
+    """
+    if not route.idempotent or long_work or route.retries < 1 or usual_s <= 0:
+        return None
+    return usual_s * HEDGE_RATIO
+
+
+def may_hedge(
+    route: Route,
+    *,
+    long_work: bool,
+    usual_s: float,
+    running_s: float,
+    now: float,
+    deadline: float,
+    budget: RetryBudget,
+) -> bool:
+    """Decide on a second attempt beside a running one, and spend the budget for it.
+
+    Args:
+        route: The route of the request.
+        long_work: Whether the request counts as long work.
+        usual_s: Median service time of the route in seconds, 0 if unknown.
+        running_s: How long the first attempt has run, in seconds.
+        now: Time on the monotonic clock.
+        deadline: Deadline on the same clock.
+        budget: The pool's retry budget.
+    """
+    after_s = hedge_after_s(route, long_work=long_work, usual_s=usual_s)
+    if after_s is None or running_s < after_s or now + usual_s > deadline:
+        return False
+    return budget.try_spend()
