Judge targets by cumulative sums over real requests

Each route of a target, and all routes together, has one sum over failed requests and one over the service time relative to its peers or, without a baseline, to its own history. The score of all routes needs evidence from outside the worst route, so a fault of one route does not eject the rest.

Ruled out: fixed counts of consecutive failures, which never see 20 % errors.

--- /dev/null
+++ b/siskinlug/evidence.py
@@ -0,0 +1,257 @@
+"""Evidence of a target's health, from the outcomes of real requests only.
+
+Each scope (one route, or all of them) has two one-sided cumulative sums (CUSUM,
+Page 1954): one over failed requests and one over the logarithm of the service time
+relative to the usual one. Either alarms at its threshold, where the score is 1.
+"""
+
+import math
+from collections.abc import Callable
+from typing import NamedTuple
+
+ALL_ROUTES = "*"
+
+# Log-likelihood ratios of 20 % against 1 % failed requests.
+_FAILED_STEP = math.log(0.20 / 0.01)
+_PASSED_STEP = math.log(0.80 / 0.99)
+# A refused or cut connection is rarer on a healthy target than an error answer.
+_HARD_STEP = 3.5
+# Three consecutive failures alarm; so does 20 % after 21 requests on average.
+_ERROR_THRESHOLD = 8.9
+# Lies between the logarithms of 1x and 5x, so that the sum falls below 2.2x.
+_SLOW_REFERENCE = math.log(2.2)
+# The bounds keep one very long piece of work from raising the alarm alone.
+_SLOW_STEP_MAX = 1.6
+_SLOW_STEP_MIN = -1.6
+_SLOW_THRESHOLD = 10.0
+# A busy machine delays any request by a few milliseconds.
+_NOISE_S = 0.002
+# Failures that are far apart in time are not one fault.
+_HALF_LIFE_S = 30.0
+_RATIO_WEIGHT = 0.12
+_USUAL_WEIGHT = 0.02
+# The usual service time is learned only while the target does not look slow.
+_USUAL_SCORE_MAX = 0.3
+_RECENT_S = 10.0
+# One route alone must not condemn the target: what the other routes show has to
+# reach this part of the threshold, which one stray error does not.
+_OTHER_ROUTES_SCORE = 0.4
+_ROUTES_MAX = 64
+
+
+class Outcome(NamedTuple):
+    """The outcome of one request at a target, as its owner saw it.
+
+    Answers with which a target sheds load, requests that a caller gave up and
+    refusals of the owner itself are no outcomes and must not be observed.
+
+    Attributes:
+        route: Route name.
+        ok: Whether the target gave a whole answer that is no server error.
+        hard: Whether it was refused, reset, silent or cut.
+        service_s: Time from writing the request to the answer's first byte, without
+            the owner's queue.
+        baseline_s: Median of the route at other targets as the entry saw it.
+    """
+
+    route: str
+    ok: bool
+    hard: bool
+    service_s: float
+    baseline_s: float | None
+
+
+class Sickness(NamedTuple):
+    """What the evidence says of one scope.
+
+    Attributes:
+        score: 0 is healthy, 1 or more is an alarm.
+        error_ratio: Recent part of requests that failed, 0 to 1.
+        latency_ratio: Recent service time relative to the usual one.
+        cause: ``hard``, ``errors``, ``latency`` or empty.
+    """
+
+    score: float
+    error_ratio: float
+    latency_ratio: float
+    cause: str
+
+
+HEALTHY = Sickness(0.0, 0.0, 1.0, "")
+
+
+class _Scope:
+    """The sums of one scope."""
+
+    def __init__(self, now: float) -> None:
+        self.errors = 0.0
+        self.slow = 0.0
+        self.error_ratio = 0.0
+        self.log_ratio = 0.0
+        self.hard_ratio = 0.0
+        self.count = 0
+        self.recent = 0.0
+        self.last = now
+
+    def age(self, now: float) -> None:
+        elapsed = max(now - self.last, 0.0)
+        decay = 0.5 ** (elapsed / _HALF_LIFE_S)
+        self.errors *= decay
+        self.slow *= decay
+        self.recent *= math.exp(-elapsed / _RECENT_S)
+        self.last = now
+
+    def add(self, now: float, ok: bool, hard: bool, log_ratio: float | None) -> None:
+        self.age(now)
+        self.count += 1
+        self.recent += 1.0
+        step = _PASSED_STEP if ok else _HARD_STEP if hard else _FAILED_STEP
+        self.errors = max(self.errors + step, 0.0)
+        # The first observations count in full, later ones as a moving average.
+        weight = max(1.0 / self.count, _RATIO_WEIGHT)
+        self.error_ratio += weight * ((not ok) - self.error_ratio)
+        self.hard_ratio += weight * (hard - self.hard_ratio)
+        if log_ratio is not None:
+            step = log_ratio - _SLOW_REFERENCE
+            step = min(max(step, _SLOW_STEP_MIN), _SLOW_STEP_MAX)
+            self.slow = max(self.slow + step, 0.0)
+            self.log_ratio += weight * (log_ratio - self.log_ratio)
+
+    def score(self) -> float:
+        return max(self.errors / _ERROR_THRESHOLD, self.slow / _SLOW_THRESHOLD)
+
+    def sickness(self, score: float) -> Sickness:
+        cause = ""
+        if self.errors / _ERROR_THRESHOLD >= self.slow / _SLOW_THRESHOLD > 0 or (
+            self.errors > 0 and self.slow <= 0
+        ):
+            cause = "hard" if self.hard_ratio * 2 > self.error_ratio else "errors"
+        elif self.slow > 0:
+            cause = "latency"
+        return Sickness(score, self.error_ratio, math.exp(self.log_ratio), cause)
+
+
+class Evidence:
+    """The evidence of one target."""
+
+    def __init__(self, *, monotonic: Callable[[], float]) -> None:
+        self.monotonic = monotonic
+        now = monotonic()
+        self.all_routes = _Scope(now)
+        self.scope_by_route: dict[str, _Scope] = {}
+        # For each route, what all the other routes show together.
+        self.others_by_route: dict[str, _Scope] = {}
+        self.usual_log_s_by_route: dict[str, float] = {}
+
+
+def make_evidence(*, monotonic: Callable[[], float]) -> Evidence:
+    """Build the evidence of one target, which starts as healthy.
+
+    Args:
+        monotonic: Monotonic clock in seconds.
+    """
+    return Evidence(monotonic=monotonic)
+
+
+def observe(evidence: Evidence, outcome: Outcome) -> None:
+    """Add the outcome of one real request."""
+    now = evidence.monotonic()
+    route = outcome.route
+    if route not in evidence.scope_by_route:
+        _add_route(evidence, route, now)
+    log_ratio = None
+    if outcome.ok:
+        log_ratio = _log_ratio(evidence, outcome)
+    add = (now, outcome.ok, outcome.hard, log_ratio)
+    evidence.scope_by_route[route].add(*add)
+    evidence.all_routes.add(*add)
+    for other, scope in evidence.others_by_route.items():
+        if other != route:
+            scope.add(*add)
+
+
+def judge(evidence: Evidence) -> dict[str, Sickness]:
+    """Judge the target, by route and for all routes under ``*``.
+
+    A route that fails alone raises only its own score: the score of ``*`` needs
+    evidence of the other routes too, unless there is only one route.
+    """
+    now = evidence.monotonic()
+    scopes = [evidence.all_routes, *evidence.scope_by_route.values()]
+    for scope in (*scopes, *evidence.others_by_route.values()):
+        scope.age(now)
+    sickness_by_route = {
+        route: scope.sickness(scope.score())
+        for route, scope in evidence.scope_by_route.items()
+    }
+    score = evidence.all_routes.score()
+    if len(evidence.scope_by_route) > 1:
+        others = min(scope.score() for scope in evidence.others_by_route.values())
+        score = min(score, others / _OTHER_ROUTES_SCORE)
+    sickness_by_route[ALL_ROUTES] = evidence.all_routes.sickness(score)
+    return sickness_by_route
+
+
+def recent_requests(evidence: Evidence, route: str) -> float:
+    """Return how many requests of a route, or of ``*``, were observed lately.
+
+    A request counts 1 at first and less with age, by a time constant of 10 s.
+    """
+    scope = evidence.all_routes
+    if route != ALL_ROUTES:
+        if route not in evidence.scope_by_route:
+            return 0.0
+        scope = evidence.scope_by_route[route]
+    scope.age(evidence.monotonic())
+    return scope.recent
+
+
+def forget(evidence: Evidence, route: str) -> None:
+    """Drop the evidence of a route, or all with ``*``; usual times are kept.
+
+    Called when a route is ejected, so that its failures do not count against the
+    other routes, and when readmission starts, which new requests must judge.
+    """
+    now = evidence.monotonic()
+    if route == ALL_ROUTES:
+        evidence.all_routes = _Scope(now)
+        evidence.scope_by_route.clear()
+        evidence.others_by_route.clear()
+        return
+    if evidence.scope_by_route.pop(route, None) is None:
+        return
+    evidence.all_routes = evidence.others_by_route.pop(route)
+    for scope in evidence.others_by_route.values():
+        scope.errors = min(scope.errors, evidence.all_routes.errors)
+        scope.slow = min(scope.slow, evidence.all_routes.slow)
+
+
+def _add_route(evidence: Evidence, route: str, now: float) -> None:
+    if len(evidence.scope_by_route) >= _ROUTES_MAX:
+        oldest = min(
+            evidence.scope_by_route,
+            key=lambda name: evidence.scope_by_route[name].last,
+        )
+        del evidence.scope_by_route[oldest], evidence.others_by_route[oldest]
+        evidence.usual_log_s_by_route.pop(oldest, None)
+    others = _Scope(now)
+    others.__dict__.update(evidence.all_routes.__dict__)
+    evidence.scope_by_route[route] = _Scope(now)
+    evidence.others_by_route[route] = others
+
+
+def _log_ratio(evidence: Evidence, outcome: Outcome) -> float | None:
+    """Compare with the peers of the route or, without them, with the usual time."""
+    route = outcome.route
+    log_s = math.log(max(outcome.service_s, 0.0) + _NOISE_S)
+    usual = evidence.usual_log_s_by_route.get(route)
+    scope = evidence.scope_by_route[route]
+    if usual is None:
+        evidence.usual_log_s_by_route[route] = log_s
+    elif scope.score() < _USUAL_SCORE_MAX:
+        # Bounded steps keep rare long work out of the usual time.
+        step = min(max(log_s - usual, -1.0), 1.0)
+        evidence.usual_log_s_by_route[route] = usual + _USUAL_WEIGHT * step
+    if outcome.baseline_s is not None:
+        return log_s - math.log(max(outcome.baseline_s, 0.0) + _NOISE_S)
+    return None if usual is None else log_s - usual
