--- a/siskinlug/ini.py
+++ b/siskinlug/ini.py
@@ -7,9 +7,13 @@
 
 from returns.result import Failure, Result, Success
 
-_SECTION = re.compile(r"^\[(?P<name>[^\]]+)\]")
+# The same pattern as configparser's, so that both find the same sections.
+_SECTION = re.compile(r"^\[(?P<name>.+)\]")
 _KEY = re.compile(r"^(?P<name>[^\s=:#;\[][^=:]*?)\s*[=:]")
 
+# Faults in the INI syntax after which a file is given up: each costs a pass over it.
+_SYNTAX_FAULTS_MAX = 50
+
 
 class Fault(NamedTuple):
     """A fault in a file, located as closely as possible; line 0 is unknown."""
@@ -117,7 +121,7 @@
     """Return the line of each section (key ``""``) and of each key in it."""
     line_by_key: dict[tuple[str, str], int] = {}
     section = ""
-    for number_of_line, line in enumerate(text.splitlines(), start=1):
+    for number_of_line, line in enumerate(text.split("\n"), start=1):
         if found := _SECTION.match(line):
             section = found["name"]
             line_by_key.setdefault((section, ""), number_of_line)
@@ -128,26 +132,67 @@
     return line_by_key
 
 
-def parse_ini(
-    text: str, *, file: str
-) -> Result[dict[str, dict[str, str]], list[Fault]]:
+def read_ini(text: str, *, file: str) -> tuple[dict[str, dict[str, str]], list[Fault]]:
     """Read INI text into values by section and key, without interpolation.
 
+    Faulty lines are left out, so that what remains can be checked as well. A section
+    that is given twice keeps its first content.
+
     Returns:
-        The texts by section and key, or one fault for text that is not INI.
+        The texts by section and key, and every fault in the syntax.
     """
-    parser = configparser.ConfigParser(
-        interpolation=None, default_section="\0", inline_comment_prefixes=(" #", " ;")
-    )
-    try:
-        parser.read_string(text, source=file)
-    except configparser.Error as error:
-        line = getattr(error, "lineno", None) or 0
-        problem = getattr(error, "message", str(error)).replace("\n", " ")
-        section = getattr(error, "section", "") or ""
-        key = getattr(error, "option", "") or ""
-        return Failure([Fault(file, line, section, key, problem)])
-    return Success({name: dict(parser[name]) for name in parser.sections()})
+    lines = text.split("\n")
+    faults: list[Fault] = []
+    while True:
+        # A comment character counts only after white space.
+        parser = configparser.ConfigParser(
+            interpolation=None,
+            default_section="\0",
+            inline_comment_prefixes=("#", ";"),
+        )
+        try:
+            parser.read_string("\n".join(lines), source=file)
+            break
+        except configparser.Error as error:
+            if not _leave_out(error, lines, file, faults):
+                return {}, faults
+    sections = {name: dict(parser[name]) for name in parser.sections()}
+    return {n: v for n, v in sections.items() if not n.startswith("\0")}, faults
+
+
+def _leave_out(
+    error: configparser.Error, lines: list[str], file: str, faults: list[Fault]
+) -> bool:
+    """Note a syntax error and remove its lines; false if that is not possible."""
+    section = getattr(error, "section", "") or ""
+    key = getattr(error, "option", "") or ""
+    at = getattr(error, "lineno", 0) or 0
+    if isinstance(error, configparser.DuplicateSectionError):
+        faults.append(Fault(file, at, section, "", "section is given twice"))
+        lines[at - 1] = f"[\0{len(faults)}]"
+    elif isinstance(error, configparser.DuplicateOptionError):
+        if not section.startswith("\0"):
+            faults.append(Fault(file, at, section, key, "key is given twice"))
+        lines[at - 1] = ""
+    elif isinstance(error, configparser.MissingSectionHeaderError):
+        faults.append(Fault(file, at, "", "", "text before the first section"))
+        lines[at - 1] = ""
+    elif isinstance(error, configparser.ParsingError):
+        for at, _ in error.errors:
+            faults.append(Fault(file, at, "", "", "neither a section nor key = value"))
+            lines[at - 1] = ""
+    else:
+        faults.append(Fault(file, at, section, key, str(error).replace("\n", " ")))
+        return False
+    return len(faults) < _SYNTAX_FAULTS_MAX
+
+
+def parse_ini(
+    text: str, *, file: str
+) -> Result[dict[str, dict[str, str]], list[Fault]]:
+    """Read INI text as ``read_ini`` does, and fail on any fault in the syntax."""
+    sections, faults = read_ini(text, file=file)
+    return Failure(faults) if faults else Success(sections)
 
 
 def check_section(
--- a/siskinlug/tables.py
+++ b/siskinlug/tables.py
@@ -1,7 +1,26 @@
 """The two tables of the operators: routes and pools, joined by pool name."""
 
-from collections.abc import Mapping
-from typing import NamedTuple
+from collections.abc import Callable, Iterator, Mapping
+from typing import Any, NamedTuple, TypeVar
+
+from returns.result import Failure, Result, Success
+
+from siskinlug.ini import (
+    REQUIRED,
+    Fault,
+    KeySpec,
+    boolean,
+    check_section,
+    integer,
+    locate_keys,
+    matching,
+    number,
+    one_of,
+    read_ini,
+    words,
+)
+
+ANY = "*"
 
 
 class Route(NamedTuple):
@@ -77,3 +96,278 @@
 
 
 NO_TABLES = Tables(0, 0, {}, {})
+
+# Route and pool names travel in headers between nodes and in metric labels.
+_NAME = matching(r"[A-Za-z0-9._-]{1,64}", "a name of letters, digits, '.', '_', '-'")
+_HOST = matching(
+    r"\*|[a-z0-9]([a-z0-9.-]{0,251}[a-z0-9])?",
+    "'*' or a host name in lower case without port",
+)
+# Routes are matched after dot segments and needless escapes are removed, so a prefix
+# that holds one could never match.
+_PATH_PREFIX = matching(
+    r"/|(?!.*/\.{1,2}(/|$))(/[A-Za-z0-9._~!$&'()*+,;=:@-]+){1,32}",
+    "a path of plain segments with '/' at its start and none at its end",
+)
+_HEADER = matching(r"[A-Za-z][A-Za-z0-9-]{0,63}", "a header name")
+_METHOD = matching(r"[A-Z]{1,16}", "a method in upper case")
+
+RowT = TypeVar("RowT")
+
+
+def _each(parse: Callable[[str], str]) -> Callable[[str], tuple[str, ...]]:
+    """Accept a list of distinct words, each of which ``parse`` accepts."""
+
+    def parse_all(text: str) -> tuple[str, ...]:
+        values = tuple(parse(word) for word in words(text))
+        if len(set(values)) < len(values):
+            raise ValueError("a word is given twice")
+        return values
+
+    return parse_all
+
+
+def _weights(text: str) -> dict[str, float]:
+    """Accept words of the form ``domain:weight``."""
+    parse_weight = number(0.01, 100)
+    weight_by_domain: dict[str, float] = {}
+    for word in words(text):
+        domain, separator, weight = word.rpartition(":")
+        if not separator:
+            raise ValueError(f"{word!r} is not domain:weight")
+        if _NAME(domain) in weight_by_domain:
+            raise ValueError(f"{domain} is given twice")
+        weight_by_domain[domain] = parse_weight(weight)
+    return weight_by_domain
+
+
+ROUTE_SPECS: Mapping[str, KeySpec] = {
+    "host": KeySpec(_HOST, ANY, "", "Host to match without port; `*` is any."),
+    "path_prefix": KeySpec(
+        _PATH_PREFIX, "/", "", "Path to match together with all paths below it."
+    ),
+    "methods": KeySpec(
+        _each(_METHOD),
+        (),
+        "",
+        "Methods to match; empty is any that no other route of this path names.",
+    ),
+    "pool": KeySpec(_NAME, REQUIRED, "", "Pool that serves the route."),
+    "timeout_s": KeySpec(
+        number(0.05, 3600), 10.0, "s", "Time to the first byte of the answer."
+    ),
+    "work": KeySpec(
+        one_of("short", "long", "learned"),
+        "learned",
+        "",
+        "Kind of work; `learned` decides by measured service times.",
+    ),
+    "idempotent": KeySpec(
+        boolean, False, "", "Whether a request may be run more than once."
+    ),
+    "retries": KeySpec(integer(0, 5), 2, "attempts", "Attempts after the first."),
+    "priority": KeySpec(integer(0, 9), 5, "", "0 is served first, 9 last."),
+    "account_header": KeySpec(
+        _HEADER, "X-Account", "", "Request header that names the caller's account."
+    ),
+    "account_rate": KeySpec(
+        number(0, 1_000_000),
+        0.0,
+        "requests/s",
+        "Limit for one account at one entry; 0 is none.",
+    ),
+    "claims_without_log": KeySpec(
+        one_of("refuse", "memory"),
+        "refuse",
+        "",
+        "Treatment of requests with an Idempotency-Key while the log is unavailable.",
+    ),
+}
+
+POOL_SPECS: Mapping[str, KeySpec] = {
+    "service": KeySpec(_NAME, REQUIRED, "", "Service that targets announce."),
+    "failure_domains": KeySpec(
+        _each(_NAME), (), "", "Failure domains allowed; empty is all."
+    ),
+    "allowed_vms": KeySpec(_each(_NAME), (), "", "VMs allowed; empty is all."),
+    "denied_vms": KeySpec(
+        _each(_NAME), (), "", "VMs denied, even if they are also allowed."
+    ),
+    "slots": KeySpec(
+        integer(0, 10_000),
+        0,
+        "requests",
+        "Most requests at once for each target; 0 is as the target announces.",
+    ),
+    "floor_slots": KeySpec(
+        integer(0, 1_000_000),
+        0,
+        "slots",
+        "Healthy slots that ejection leaves in the pool.",
+    ),
+    "queue": KeySpec(
+        integer(0, 10_000), 32, "requests", "Requests that may wait at each target."
+    ),
+    "queue_wait_s": KeySpec(
+        number(0, 600), 2.0, "s", "Longest wait in a target's queue."
+    ),
+    "weight_by_domain": KeySpec(
+        _weights, {}, "", "Weights as `domain:weight`; 1 for a domain not named."
+    ),
+}
+
+
+def parse_routes(
+    text: str, *, file: str = "routes.ini"
+) -> Result[dict[str, Route], list[Fault]]:
+    """Read a routes table: INI with one section a route, keys as in ROUTE_SPECS.
+
+    Returns:
+        The routes by name, or every fault found in this table alone.
+    """
+    routes_by_name, faults = _read_rows(text, ROUTE_SPECS, Route, file)
+    faults += _duplicate_matches(routes_by_name, file, locate_keys(text))
+    return Failure(faults) if faults else Success(routes_by_name)
+
+
+def parse_pools(
+    text: str, *, file: str = "pools.ini"
+) -> Result[dict[str, Pool], list[Fault]]:
+    """Read a pools table: INI with one section a pool, keys as in POOL_SPECS.
+
+    Returns:
+        The pools by name, or every fault found in this table alone.
+    """
+    pools_by_name, faults = _read_rows(text, POOL_SPECS, Pool, file)
+    lines = locate_keys(text)
+    for pool in pools_by_name.values():
+        faults += _pool_faults(pool, file, lines)
+    return Failure(faults) if faults else Success(pools_by_name)
+
+
+def check_tables(
+    routes_by_name: Mapping[str, Route],
+    pools_by_name: Mapping[str, Pool],
+    *,
+    file: str = "routes.ini",
+    routes_text: str = "",
+) -> list[Fault]:
+    """Check that the joined tables are consistent.
+
+    Args:
+        routes_by_name: A routes table without faults of its own.
+        pools_by_name: A pools table without faults of its own.
+        file: File name of the routes table for the faults.
+        routes_text: Text of the routes table, from which lines are located.
+
+    Returns:
+        A fault for each route to a missing pool.
+    """
+    missing = (r for r in routes_by_name.values() if r.pool not in pools_by_name)
+    lines = locate_keys(routes_text)
+    return [
+        Fault(
+            file,
+            lines.get((route.name, "pool"), 0),
+            route.name,
+            "pool",
+            f"there is no pool {route.pool!r}",
+        )
+        for route in missing
+    ]
+
+
+def read_tables(
+    routes_text: str,
+    pools_text: str,
+    *,
+    routes_file: str = "routes.ini",
+    pools_file: str = "pools.ini",
+) -> Result[tuple[dict[str, Route], dict[str, Pool]], list[Fault]]:
+    """Read both tables and check them together.
+
+    Returns:
+        Routes by name and pools by name, or every fault of both files and of their
+        join. A pool that is present with faults does not count as missing.
+    """
+    routes = parse_routes(routes_text, file=routes_file)
+    pools = parse_pools(pools_text, file=pools_file)
+    faults = [
+        fault
+        for table in (routes, pools)
+        if isinstance(table, Failure)
+        for fault in table.failure()
+    ]
+    # The rows without faults are joined even if others have some.
+    routes_by_name, _ = _read_rows(routes_text, ROUTE_SPECS, Route, routes_file)
+    present, _ = read_ini(pools_text, file=pools_file)
+    pools_by_name = pools.value_or({name: Pool(name, "") for name in present})
+    faults += check_tables(
+        routes_by_name, pools_by_name, file=routes_file, routes_text=routes_text
+    )
+    return Failure(faults) if faults else Success((routes_by_name, pools_by_name))
+
+
+def _read_rows(
+    text: str, specs: Mapping[str, KeySpec], make: Callable[..., RowT], file: str
+) -> tuple[dict[str, RowT], list[Fault]]:
+    """Return the rows without faults by name, and the faults of the others."""
+    sections, faults = read_ini(text, file=file)
+    lines = locate_keys(text)
+    row_by_name: dict[str, RowT] = {}
+    for name, values in sections.items():
+        row: dict[str, Any]
+        row, found = check_section(
+            values, specs, file=file, section=name, line_by_key=lines
+        )
+        try:
+            _NAME(name)
+        except ValueError as error:
+            found.append(Fault(file, lines.get((name, ""), 0), name, "", str(error)))
+        if not found:
+            row_by_name[name] = make(name=name, **row)
+        faults += found
+    return row_by_name, faults
+
+
+def _duplicate_matches(
+    routes_by_name: Mapping[str, Route],
+    file: str,
+    lines: Mapping[tuple[str, str], int],
+) -> Iterator[Fault]:
+    """Yield a fault for each route that matches the same requests as an earlier one."""
+    name_by_match: dict[tuple[str, str, str], str] = {}
+    for route in routes_by_name.values():
+        for method in route.methods or (ANY,):
+            match = (route.host, route.path_prefix, method)
+            earlier = name_by_match.setdefault(match, route.name)
+            if earlier == route.name:
+                continue
+            key = next(
+                (k for k in ("path_prefix", "host") if (route.name, k) in lines), ""
+            )
+            yield Fault(
+                file,
+                lines.get((route.name, key), 0),
+                route.name,
+                key,
+                f"matches {method} {route.host}{route.path_prefix} as does "
+                f"[{earlier}] at line {lines.get((earlier, ''), 0)}",
+            )
+            break
+
+
+def _pool_faults(
+    pool: Pool, file: str, lines: Mapping[tuple[str, str], int]
+) -> Iterator[Fault]:
+    """Yield faults between the keys of one pool."""
+
+    def fault(key: str, problem: str) -> Fault:
+        return Fault(file, lines.get((pool.name, key), 0), pool.name, key, problem)
+
+    if pool.allowed_vms and set(pool.allowed_vms) <= set(pool.denied_vms):
+        yield fault("denied_vms", "denies every VM that allowed_vms allows")
+    outside = set(pool.weight_by_domain) - set(pool.failure_domains)
+    if pool.failure_domains and outside:
+        named = ", ".join(sorted(outside))
+        yield fault("weight_by_domain", f"{named} not in failure_domains")
--- /dev/null
+++ b/tests/test_tables.py
@@ -0,0 +1,157 @@
+"""The routes and pools tables, and matching of requests to routes."""
+
+from pathlib import Path
+
+import testtools
+from hypothesis import given
+from hypothesis import strategies as st
+from returns.result import Failure, Success
+from testtools.matchers import Equals, Is, IsInstance, MatchesSetwise, StartsWith
+
+from siskinlug.routing import match_route
+from siskinlug.tables import Route, Tables, parse_pools, parse_routes, read_tables
+
+EXAMPLES = Path(__file__).resolve().parent.parent / "examples"
+
+PATHS = st.lists(st.sampled_from("ab"), max_size=4).map(lambda s: "/" + "/".join(s))
+ROUTES = st.lists(
+    st.tuples(
+        st.sampled_from(["*", "x.example"]), PATHS, st.sampled_from(["", "GET", "PUT"])
+    ),
+    unique=True,
+    max_size=12,
+)
+
+
+def _tables(*routes: Route) -> Tables:
+    return Tables(1, 1, {route.name: route for route in routes}, {})
+
+
+def _slow_match(routes: list[Route], method: str, host: str, path: str) -> Route | None:
+    """Reference: filter all routes, then take the greatest by the documented order."""
+    matching = [
+        route
+        for route in routes
+        if route.host in (host, "*")
+        and (path + "/").startswith(route.path_prefix.rstrip("/") + "/")
+        and (not route.methods or method in route.methods)
+    ]
+    return max(
+        matching,
+        key=lambda r: (r.host != "*", len(r.path_prefix), bool(r.methods)),
+        default=None,
+    )
+
+
+class TablesTest(testtools.TestCase):
+    def test_examples_are_valid(self) -> None:
+        for directory in EXAMPLES.iterdir():
+            tables = read_tables(
+                (directory / "routes.ini").read_text(),
+                (directory / "pools.ini").read_text(),
+            )
+            self.assertThat(tables, IsInstance(Success))
+
+    def test_every_fault_is_reported_with_its_place(self) -> None:
+        """Guards against a check that stops at the first faulty row, file or kind."""
+        routes = (
+            "[a]\npool = p\npath_prefix = /x\n\n"
+            "[b]\npool = q\nretries = 9\n\n"
+            "[c]\npool = gone\n[d]\npool = p\npath_prefix = /x\n"
+            "[a]\nnonsense\npool = p\n[e]\n"
+        )
+        pools = "[p]\nservice = s\nfloor_slots = -1\nqueue = 1\nqueue = 2\n"
+        read = read_tables(routes, pools)
+        self.assertThat(read, IsInstance(Failure))
+        self.assertThat(
+            [str(fault) for fault in read.failure()],
+            MatchesSetwise(
+                Equals("routes.ini:14: [a]: section is given twice"),
+                Equals("routes.ini:15: neither a section nor key = value"),
+                Equals("routes.ini:7: [b] retries: 9 is outside 0 to 5"),
+                Equals("routes.ini:17: [e] pool: missing"),
+                StartsWith("routes.ini:13: [d] path_prefix: matches * */x as does [a]"),
+                Equals("routes.ini:10: [c] pool: there is no pool 'gone'"),
+                Equals("pools.ini:5: [p] queue: key is given twice"),
+                Equals("pools.ini:3: [p] floor_slots: -1 is outside 0 to 1000000"),
+            ),
+        )
+
+    def test_comment_after_a_value_is_ignored(self) -> None:
+        """Guards against a value that takes the comment behind one space with it."""
+        pool = parse_pools("[p]\nservice = s # five\nqueue = 5 ; few\n").unwrap()["p"]
+        self.assertThat((pool.service, pool.queue), Equals(("s", 5)))
+
+    def test_pool_that_contradicts_itself_is_refused(self) -> None:
+        """Guards against a pool that no target can ever be in."""
+        pools = parse_pools(
+            "[p]\nservice = s\nallowed_vms = a b\ndenied_vms = a b c\n"
+            "failure_domains = x\nweight_by_domain = y:2\n"
+        )
+        keys = [fault.key for fault in pools.failure()]
+        self.assertThat(keys, Equals(["denied_vms", "weight_by_domain"]))
+
+    @given(st.text(alphabet="[]ab=: \n\r#;/*\x00\x0b", max_size=80))
+    def test_any_text_is_parsed_or_refused(self, text: str) -> None:
+        """Guards against an exception for a file that an editor mangled."""
+        for fault in parse_routes(text).swap().value_or([]):
+            self.assertTrue(0 <= fault.line <= text.count("\n") + 1)
+
+
+class RoutingTest(testtools.TestCase):
+    @given(
+        ROUTES,
+        PATHS,
+        st.sampled_from(["GET", "PUT", "POST"]),
+        st.sampled_from(["x.example", "y.example"]),
+    )
+    def test_match_agrees_with_a_search_of_all_routes(
+        self,
+        rows: list[tuple[str, str, str]],
+        path: str,
+        method: str,
+        host: str,
+    ) -> None:
+        """Guards against a wrong order of host, prefix and method in the index."""
+        routes = [
+            Route(f"r{n}", host_, prefix, (method_,) if method_ else (), "p")
+            for n, (host_, prefix, method_) in enumerate(rows)
+        ]
+        found = match_route(_tables(*routes), method, host, path)
+        self.assertThat(found, Is(_slow_match(routes, method, host, path)))
+
+    def test_prefix_ends_at_a_segment(self) -> None:
+        """Guards against ``/orders`` taking the requests of ``/orders-old``."""
+        tables = _tables(Route("orders", "*", "/orders", (), "p"))
+        for path, matches in [
+            ("/orders", True),
+            ("/orders/", True),
+            ("/orders?x=/", True),
+            ("/orders/1/2", True),
+            ("/orders-old", False),
+            ("/", False),
+        ]:
+            found = match_route(tables, "GET", "h:80", path)
+            self.assertThat(found is not None, Equals(matches), path)
+
+    def test_other_spellings_of_a_path_reach_its_route(self) -> None:
+        """Guards against a caller avoiding a route by escapes or dot segments."""
+        tables = _tables(
+            Route("all", "*", "/", (), "p"), Route("hires", "*", "/hires", (), "p")
+        )
+        for path in ("/%68ires", "/x/../hires/1", "/./hires", "/x/%2e%2E/hires"):
+            found = match_route(tables, "GET", "X:1", path)
+            self.assertThat(found and found.name, Equals("hires"), path)
+
+    def test_long_path_is_cut_before_it_is_searched(self) -> None:
+        """Guards against work that grows with the square of the path's length."""
+        tables = _tables(Route("a", "*", "/a", (), "p"))
+        # Without the cut this takes minutes, not milliseconds.
+        self.assertThat(match_route(tables, "GET", "h", "/b" * 1_000_000), Is(None))
+
+    def test_changed_tables_get_their_own_index(self) -> None:
+        """Guards against answers from the index of tables no longer in force."""
+        for n in range(20):
+            tables = _tables(Route(f"r{n}", "*", "/", (), "p"))
+            found = match_route(tables, "GET", "h", "/")
+            self.assertThat(found and found.name, Equals(f"r{n}"))
