--- a/siskinlug/announcements.py
+++ b/siskinlug/announcements.py
@@ -54,7 +54,7 @@
 
 def _problem(message: Announcement) -> str:
     for key in ("target", "service"):
-        name = message[key]  # type: ignore[literal-required]
+        name = message[key]
         if not 0 < len(name) <= _NAME_LENGTH or not name.isprintable():
             return f"{key} must have 1 to {_NAME_LENGTH} printable characters"
     if not 1 <= message["port"] <= 65535:
--- a/siskinlug/entry.py
+++ b/siskinlug/entry.py
@@ -2,7 +2,7 @@
 
 import secrets
 from collections import deque
-from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping, Sequence
 from contextlib import asynccontextmanager
 from statistics import median
 from typing import NamedTuple
@@ -10,9 +10,9 @@
 from returns.result import Failure, Result, Success
 from tornado.httputil import HTTPHeaders
 
-from siskinlug.account_rates import AccountRates, admit_account
+from siskinlug.account_rates import AccountRates, check_rate
 from siskinlug.body import BodyCut
-from siskinlug.choice import Candidate, Choose
+from siskinlug.choice import Candidate
 from siskinlug.connections import (
     IDLE_MAX_S,
     NON_IDEMPOTENT_IDLE_MAX_S,
@@ -66,6 +66,7 @@
     refusal: Refusal | None
 
 
+Choose = Callable[[Sequence[Candidate]], Candidate | None]
 CancelAttempt = Callable[[NodeRecord, str], Awaitable[Verdict]]
 
 
@@ -197,7 +198,7 @@
     if route is None:
         return Failure(not_run(Reason.NO_ROUTE, f"{head.method} {head.path}"))
     account = head.headers.get(route.account_header, "")
-    refusal = admit_account(entry.account_rates, route, account)
+    refusal = check_rate(entry.account_rates, route.name, account, route.account_rate)
     if refusal is not None:
         return Failure(refusal)
     # A small body is read whole first, so that a slow caller holds no slot.
@@ -474,9 +475,7 @@
     return Failure(refusal)
 
 
-async def _settle(
-    entry: Entry, node: NodeRecord, attempt: str, cause: str
-) -> Refusal:
+async def _settle(entry: Entry, node: NodeRecord, attempt: str, cause: str) -> Refusal:
     """Ask the owner, over a new connection, what became of a lost attempt."""
     if cause == "body_cut":
         return may_have_run(Reason.CANCELLED)
@@ -510,9 +509,7 @@
     except ValueError:
         return
     observe_service_time(entry.service_times, route, service_s)
-    recent = entry.recent_by_route.setdefault(
-        route, deque(maxlen=RECENT_SERVICE_TIMES)
-    )
+    recent = entry.recent_by_route.setdefault(route, deque(maxlen=RECENT_SERVICE_TIMES))
     recent.append(service_s)
 
 
--- a/siskinlug/owner.py
+++ b/siskinlug/owner.py
@@ -1,5 +1,6 @@
 """Owner role: the only process that sends requests to the targets beside it."""
 
+import asyncio
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from typing import NamedTuple
@@ -121,7 +122,12 @@
     if refusal := _refusal_before_queue(owner, request):
         yield Failure(refusal)
         return
-    begun = begin(owner.attempts, request.attempt)
+    task = asyncio.current_task()
+    begun = begin(
+        owner.attempts,
+        request.attempt,
+        on_cancel=lambda: task.cancel() if task is not None else None,
+    )
     if isinstance(begun, Failure):
         yield Failure(begun.failure())
         return
@@ -201,12 +207,7 @@
         return not_run(Reason.TARGET_LEAVING, f"{request.target} is leaving")
     if request.deadline <= owner.monotonic():
         return not_run(Reason.DEADLINE)
-    if refusal := _quarantine_refusal(owner, request):
-        return refusal
-    started = mark_started(owner.attempts, request.attempt)
-    if isinstance(started, Failure):
-        return started.failure()
-    return None
+    return _quarantine_refusal(owner, request)
 
 
 @asynccontextmanager
@@ -234,6 +235,15 @@
             yield Failure(not_run(Reason.TARGET_UNREACHABLE, detail))
             return
         connection = connected.unwrap()
+        # Nothing is awaited between this check and the first byte.
+        if refusal := _refusal_after_queue(owner, request, owned):
+            connection.reusable = True
+            yield Failure(refusal)
+            return
+        if not mark_started(owner.attempts, request.attempt):
+            connection.reusable = True
+            yield Failure(not_run(Reason.CANCELLED, "cancelled by its entry"))
+            return
         running = owner.fingerprints_by_target.setdefault(request.target, {})
         running[request.attempt] = request.fingerprint
         try:
