--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,318 @@
+"""A small fleet as separate processes on loopback, for the demo, tests and bench."""
+
+import http.client
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable, Iterator, Sequence
+from contextlib import contextmanager, suppress
+from pathlib import Path
+from typing import Any, NamedTuple
+
+ROOT = Path(__file__).resolve().parent.parent
+TOKEN = "loopback-fleet-token"
+CALLER_PORT = 8080
+PEER_PORT = 8081
+ADMIN_PORT = 8082
+LOG_PORT = 8090
+TARGET_PORT = 9000
+START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 30.0
+
+
+class TargetSpec(NamedTuple):
+    """A stand-in target to start beside a node."""
+
+    name: str
+    service: str
+    slots: int
+    node: int
+
+
+class NodeSpec(NamedTuple):
+    """A daemon to start; its number gives its loopback address."""
+
+    number: int
+    failure_domain: str
+    region: str = "default"
+
+    @property
+    def name(self) -> str:
+        """Node id."""
+        return f"node-{self.number}"
+
+
+class Process:
+    """One process of the fleet and the file that holds its output."""
+
+    def __init__(self, name: str, arguments: Sequence[str], log_path: Path) -> None:
+        self.name = name
+        self.arguments = list(arguments)
+        self.log_path = log_path
+        self.popen: subprocess.Popen[bytes] | None = None
+
+    def start(self) -> None:
+        """Start the process, also again after it ended."""
+        with self.log_path.open("ab") as output:
+            self.popen = subprocess.Popen(
+                [sys.executable, *self.arguments],
+                cwd=ROOT,
+                stdout=output,
+                stderr=subprocess.STDOUT,
+                stdin=subprocess.DEVNULL,
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal if the process still runs."""
+        if self.popen is not None and self.popen.poll() is None:
+            self.popen.send_signal(number)
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self.send(signal.SIGKILL)
+        self.wait()
+
+    def pause(self) -> None:
+        """Stop the process without ending it."""
+        self.send(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let a paused process go on."""
+        self.send(signal.SIGCONT)
+
+    def terminate(self) -> None:
+        """Ask the process to stop."""
+        self.send(signal.SIGTERM)
+
+    def wait(self, timeout_s: float = STOP_TIMEOUT_S) -> int:
+        """Wait for the end of the process and return its exit code."""
+        assert self.popen is not None
+        return self.popen.wait(timeout_s)
+
+    def output(self) -> str:
+        """Return what the process has printed so far."""
+        return self.log_path.read_text(errors="replace")
+
+
+class Reply(NamedTuple):
+    """An HTTP answer read whole."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    def json(self) -> Any:
+        """Return the decoded body."""
+        return json.loads(self.body)
+
+
+def call(
+    host: str,
+    port: int,
+    method: str,
+    path: str,
+    *,
+    body: bytes | None = None,
+    headers: dict[str, str] | None = None,
+    timeout_s: float = 10.0,
+) -> Reply:
+    """Send one request on a connection of its own.
+
+    Raises:
+        OSError: No connection, or it broke.
+        http.client.HTTPException: The answer was malformed or cut short.
+    """
+    connection = http.client.HTTPConnection(host, port, timeout=timeout_s)
+    try:
+        connection.request(method, path, body=body, headers=headers or {})
+        response = connection.getresponse()
+        return Reply(response.status, dict(response.getheaders()), response.read())
+    finally:
+        connection.close()
+
+
+def wait_until(
+    condition: Callable[[], bool], what: str, *, timeout_s: float = START_TIMEOUT_S
+) -> None:
+    """Wait for a condition; connection errors count as not yet.
+
+    Raises:
+        TimeoutError: It did not become true in time.
+    """
+    deadline = time.monotonic() + timeout_s
+    while time.monotonic() < deadline:
+        with suppress(OSError, http.client.HTTPException, ValueError):
+            if condition():
+                return
+        time.sleep(0.05)
+    raise TimeoutError(f"{what} after {timeout_s:g} s")
+
+
+class Fleet:
+    """Processes by name, with the addresses of a fleet's nodes."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        # An address range for each fleet keeps the well-known ports free of clashes.
+        number = os.getpid() % 60_000 + int.from_bytes(os.urandom(1)) % 256
+        self.prefix = f"127.{20 + number // 250 % 200}.{number % 250}"
+        self.process_by_name: dict[str, Process] = {}
+        self.nodes: list[NodeSpec] = []
+
+    def host(self, number: int) -> str:
+        """Return the address of a VM by its number; 0 is the log's."""
+        return f"{self.prefix}.{number + 1}"
+
+    @property
+    def log_url(self) -> str:
+        """Address of the stand-in log."""
+        return f"http://{self.host(0)}:{LOG_PORT}"
+
+    def start(self, name: str, arguments: Sequence[str]) -> Process:
+        """Start a Python module or script as a process of the fleet."""
+        process = Process(name, arguments, self.folder / f"{name}.log")
+        self.process_by_name[name] = process
+        process.start()
+        return process
+
+    def start_log(self) -> Process:
+        """Start the stand-in log service."""
+        process = self.start(
+            "log",
+            [
+                "-m",
+                "standins.log_service",
+                "--host",
+                self.host(0),
+                "--port",
+                str(LOG_PORT),
+            ],
+        )
+        wait_until(
+            lambda: (
+                call(
+                    self.host(0), LOG_PORT, "GET", "/streams/members/records?from=0"
+                ).status
+                == 200
+            ),
+            "the log does not answer",
+        )
+        return process
+
+    def settings_text(self, node: NodeSpec, seeds: Sequence[int]) -> str:
+        """Return the settings file of a node."""
+        peers = " ".join(
+            f"{self.host(seed)}:{PEER_PORT}" for seed in seeds if seed != node.number
+        )
+        return (
+            f"[node]\nname = {node.name}\nvm = vm-{node.number}\n"
+            f"failure_domain = {node.failure_domain}\nregion = {node.region}\n"
+            f"host = {self.host(node.number)}\n"
+            f"caller_port = {CALLER_PORT}\npeer_port = {PEER_PORT}\n"
+            f"admin_host = {self.host(node.number)}\nadmin_port = {ADMIN_PORT}\n"
+            f"[fleet]\nlog_url = {self.log_url}\npeers = {peers}\ntoken = {TOKEN}\n"
+        )
+
+    def start_node(
+        self, node: NodeSpec, *, seeds: Sequence[int] = (1, 2, 3), extra: str = ""
+    ) -> Process:
+        """Start a daemon, without waiting for it."""
+        path = self.folder / f"{node.name}.ini"
+        path.write_text(self.settings_text(node, seeds) + extra)
+        if node not in self.nodes:
+            self.nodes.append(node)
+        return self.start(node.name, ["-m", "siskinlug.daemon", "--config", str(path)])
+
+    def start_target(self, target: TargetSpec, *, port: int) -> Process:
+        """Start a stand-in target beside a node."""
+        host = self.host(target.node)
+        return self.start(
+            target.name,
+            [
+                "-m",
+                "standins.target",
+                "--name",
+                target.name,
+                "--service",
+                target.service,
+                "--slots",
+                str(target.slots),
+                "--host",
+                host,
+                "--port",
+                str(port),
+                "--announce",
+                f"{host}:{PEER_PORT}",
+                "--token",
+                TOKEN,
+            ],
+        )
+
+    def admin(self, node: int, path: str) -> Any:
+        """Return a page of a node's admin port."""
+        return call(self.host(node), ADMIN_PORT, "GET", path).json()
+
+    def request(self, node: int, method: str, path: str, **options: Any) -> Reply:
+        """Send a request as a caller of a node."""
+        return call(self.host(node), CALLER_PORT, method, path, **options)
+
+    def wait_joined(self, *, targets: int) -> None:
+        """Wait until every node knows all nodes and all targets."""
+        for node in self.nodes:
+            number = node.number
+
+            def knows_all(number: int = number) -> bool:
+                alive = [
+                    n for n in self.admin(number, "/nodes") if n["state"] == "alive"
+                ]
+                known = sum(len(n["targets"]) for n in alive)
+                return len(alive) == len(self.nodes) and known >= targets
+
+            wait_until(knows_all, f"{node.name} does not know the whole fleet")
+
+    def wait_versions(self, *, routes: int, pools: int) -> None:
+        """Wait until both tables are in force on every node."""
+        for node in self.nodes:
+            number = node.number
+
+            def in_force(number: int = number) -> bool:
+                page = self.admin(number, "/tables")
+                return bool(
+                    page["routes_version"] >= routes and page["pools_version"] >= pools
+                )
+
+            wait_until(in_force, f"{node.name} does not have the tables")
+
+    def stop(self) -> None:
+        """Stop targets, then daemons, then the log, by their process ids."""
+        order = sorted(
+            self.process_by_name.values(),
+            key=lambda p: (p.name == "log", p.name.startswith("node-")),
+        )
+        for process in order:
+            process.resume()
+            process.terminate()
+        for process in order:
+            with suppress(subprocess.TimeoutExpired):
+                process.wait(5.0)
+            process.kill()
+
+
+@contextmanager
+def open_fleet(folder: Path | None = None) -> Iterator[Fleet]:
+    """Own a fleet and stop all of its processes at the end.
+
+    Args:
+        folder: Where settings and logs go; a temporary folder by default.
+    """
+    with tempfile.TemporaryDirectory() as temporary:
+        fleet = Fleet(folder or Path(temporary))
+        fleet.folder.mkdir(parents=True, exist_ok=True)
+        try:
+            yield fleet
+        finally:
+            fleet.stop()
--- /dev/null
+++ b/siskinlug/daemon.py
@@ -0,0 +1,105 @@
+"""``siskinlugd``: the daemon on each target VM."""
+
+import argparse
+import asyncio
+import signal
+import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+from absl import logging
+from returns.result import Failure
+
+from siskinlug.logs import configure_logs, log_event
+from siskinlug.node import PortError, leave, make_node, open_node
+from siskinlug.settings import Settings, load_settings
+
+EXIT_OK = 0
+EXIT_CUT = 1
+EXIT_SETTINGS = 2
+
+
+def _parse_arguments(arguments: list[str] | None) -> argparse.Namespace:
+    parser = argparse.ArgumentParser(
+        prog="siskinlugd", description="Carry requests to the targets of a fleet."
+    )
+    parser.add_argument(
+        "--config", type=Path, required=True, help="INI file with the settings"
+    )
+    return parser.parse_args(arguments)
+
+
+@contextmanager
+def _signals(stop: asyncio.Event, stop_now: asyncio.Event) -> Iterator[None]:
+    """Set one event on the first SIGTERM or SIGINT and the other on the second."""
+    loop = asyncio.get_running_loop()
+
+    def handle() -> None:
+        (stop_now if stop.is_set() else stop).set()
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, handle)
+    try:
+        yield
+    finally:
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.remove_signal_handler(number)
+
+
+async def run_daemon(settings: Settings) -> int:
+    """Run a node until it is told to stop.
+
+    Args:
+        settings: Checked settings.
+
+    Returns:
+        ``EXIT_OK`` when all in flight was finished, else ``EXIT_CUT``.
+
+    Raises:
+        PortError: A port cannot be opened.
+    """
+    stop, stop_now = asyncio.Event(), asyncio.Event()
+    node = make_node(settings)
+    with _signals(stop, stop_now):
+        async with open_node(node):
+            await stop.wait()
+            leaving = asyncio.create_task(leave(node, timeout_s=settings.limits.stop_s))
+            forced = asyncio.create_task(stop_now.wait())
+            await asyncio.wait({leaving, forced}, return_when=asyncio.FIRST_COMPLETED)
+            forced.cancel()
+            if not leaving.done():
+                in_flight = sum(len(s.tasks) for s in node.server_by_port.values())
+                leaving.cancel()
+                log_event(
+                    "stopped_by_second_signal",
+                    write=logging.error,
+                    requests_cut=in_flight,
+                )
+                return EXIT_CUT if in_flight else EXIT_OK
+            log_event("stopped", requests_cut=leaving.result())
+            return EXIT_CUT if leaving.result() else EXIT_OK
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run the daemon; returns its exit code."""
+    options = _parse_arguments(arguments)
+    loaded = load_settings(options.config)
+    if isinstance(loaded, Failure):
+        for fault in loaded.failure():
+            print(f"siskinlugd: {fault}", file=sys.stderr)
+        return EXIT_SETTINGS
+    settings = loaded.unwrap()
+    configure_logs(node=settings.name, level=settings.level)
+    try:
+        return asyncio.run(run_daemon(settings))
+    except PortError as error:
+        print(
+            f"siskinlugd: {options.config}: [node] {error.key}: {error}",
+            file=sys.stderr,
+        )
+        return EXIT_SETTINGS
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/siskinlug/entry.py
+++ b/siskinlug/entry.py
@@ -67,7 +67,8 @@
 
 
 Choose = Callable[[Sequence[Candidate]], Candidate | None]
-CancelAttempt = Callable[[NodeRecord, str], Awaitable[Verdict]]
+# From the owner, the attempt and the time it was sent to what became of it.
+CancelAttempt = Callable[[NodeRecord, str, float], Awaitable[Verdict]]
 
 
 class Entry:
@@ -416,7 +417,8 @@
         attempt_headers(entry, attempt, request.head.headers),
     )
     idle_s = IDLE_MAX_S if attempt.idempotent else NON_IDEMPOTENT_IDLE_MAX_S
-    left_s = request.deadline - entry.monotonic()
+    sent_at = entry.monotonic()
+    left_s = request.deadline - sent_at
     async with open_connection(
         entry.connections, (node.host, node.peer_port), max_idle_s=idle_s
     ) as connected:
@@ -431,7 +433,7 @@
                 return
             cause = result.failure().cause
     # The connection is closed by now; the owner may still hold the attempt.
-    yield Failure(await _settle(entry, node, attempt.attempt, cause))
+    yield Failure(await _settle(entry, node, attempt.attempt, sent_at, cause))
 
 
 def attempt_headers(
@@ -475,11 +477,13 @@
     return Failure(refusal)
 
 
-async def _settle(entry: Entry, node: NodeRecord, attempt: str, cause: str) -> Refusal:
+async def _settle(
+    entry: Entry, node: NodeRecord, attempt: str, sent_at: float, cause: str
+) -> Refusal:
     """Ask the owner, over a new connection, what became of a lost attempt."""
     if cause == "body_cut":
         return may_have_run(Reason.CANCELLED)
-    verdict = await entry.cancel_attempt(node, attempt)
+    verdict = await entry.cancel_attempt(node, attempt, sent_at)
     return Refusal(verdict, Reason.PEER_LOST, f"{node.node}: {cause}")
 
 
--- a/siskinlug/inbound.py
+++ b/siskinlug/inbound.py
@@ -50,7 +50,9 @@
         head: RequestHead,
         body: BodyStream,
         remote_ip: str,
+        server: "InboundServer",
     ) -> None:
+        self.server = server
         self.connection = connection
         self.head = head
         self.body = body
@@ -89,7 +91,9 @@
     ) -> None:
         assert isinstance(start_line, RequestStartLine)
         head = RequestHead(start_line.method, start_line.path, headers)
-        inbound = Inbound(self._connection, head, self._body, self._remote_ip)
+        inbound = Inbound(
+            self._connection, head, self._body, self._remote_ip, self._server
+        )
         self._task = asyncio.create_task(_serve_checked(self._server, inbound))
         self._server.tasks.add(self._task)
         self._task.add_done_callback(self._server.tasks.discard)
@@ -169,11 +173,17 @@
     inbound.connection.close()  # type: ignore[attr-defined]
 
 
+def _close_when_leaving(inbound: Inbound, headers: HTTPHeaders) -> None:
+    if inbound.server.leaving:
+        headers["Connection"] = "close"
+
+
 async def send_answer(
     inbound: Inbound, status: int, headers: HTTPHeaders, body: bytes = b""
 ) -> None:
     """Send a whole answer from memory."""
     headers["Content-Length"] = str(len(body))
+    _close_when_leaving(inbound, headers)
     start = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
     inbound.answered_status = status
     chunk = None if inbound.head.method == "HEAD" or not body else body
@@ -218,6 +228,7 @@
     headers = end_to_end(answer.headers)
     for name, value in extra.get_all() if extra else ():
         headers[name] = value
+    _close_when_leaving(inbound, headers)
     start = ResponseStartLine("HTTP/1.1", answer.status, answer.reason)
     inbound.answered_status = answer.status
     sent_bytes = 0
@@ -267,8 +278,18 @@
     return server
 
 
-async def drain_server(server: InboundServer, *, timeout_s: float) -> int:
-    """Stop listening and wait for all requests in flight.
+async def drain_server(
+    server: InboundServer, *, quiet_s: float, timeout_s: float
+) -> int:
+    """Stop listening, finish all requests in flight and close idle connections.
+
+    Answers carry ``Connection: close`` from now on, and requests that still arrive on
+    kept connections are served, until none has been in flight for a while.
+
+    Args:
+        server: The server.
+        quiet_s: Time without a request after which idle connections are closed.
+        timeout_s: Time for requests in flight, in seconds.
 
     Returns:
         Requests that were still in flight at the time limit and were cut.
@@ -276,8 +297,16 @@
     assert server.http is not None
     server.leaving = True
     server.http.stop()
-    if server.tasks:
-        await asyncio.wait(list(server.tasks), timeout=timeout_s)
+    loop = asyncio.get_running_loop()
+    deadline = loop.time() + timeout_s
+    quiet_since = loop.time()
+    while loop.time() < deadline and loop.time() - quiet_since < quiet_s:
+        if server.tasks:
+            await asyncio.wait(
+                list(server.tasks), timeout=max(0.0, deadline - loop.time())
+            )
+            quiet_since = loop.time()
+        await asyncio.sleep(min(quiet_s / 5, max(0.0, deadline - loop.time())))
     cut = [task for task in server.tasks if not task.done()]
     for task in cut:
         task.cancel()
--- /dev/null
+++ b/siskinlug/node.py
@@ -0,0 +1,387 @@
+"""One node: builds the state of all roles and connects them."""
+
+import asyncio
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+from contextlib import AsyncExitStack, asynccontextmanager
+from random import Random
+from typing import Any, TypeVar
+
+from absl import logging
+from returns.result import Failure
+
+from siskinlug.account_rates import make_account_rates
+from siskinlug.admin import (
+    explain_page,
+    make_admin_app,
+    nodes_page,
+    tables_page,
+    targets_page,
+    timeline_page,
+)
+from siskinlug.admission import close, resize
+from siskinlug.announcements import (
+    INTERVAL_S,
+    LEASE_S,
+    AdmissionLimits,
+    OwnedTargets,
+    accept_announcement,
+    drop_expired,
+    target_records,
+)
+from siskinlug.attempts import cancel, confirm, make_attempts
+from siskinlug.choice import make_choice
+from siskinlug.clock import HybridClock, wall_clock_ms
+from siskinlug.connections import make_pool
+from siskinlug.directory import NodeRecord
+from siskinlug.entry import Entry, serve_caller
+from siskinlug.inbound import InboundLimits, InboundServer, drain_server, open_server
+from siskinlug.logs import log_event
+from siskinlug.membership import (
+    announce_leaving,
+    change_own,
+    depart,
+    make_handlers,
+    make_membership,
+    run_membership,
+)
+from siskinlug.messages import (
+    Announcement,
+    AnnouncementAnswer,
+    CancelAnswer,
+    CancelRequest,
+    decode,
+    encode,
+)
+from siskinlug.metrics import make_metrics
+from siskinlug.owner import Owner
+from siskinlug.peer_client import call_peer, make_peer_client
+from siskinlug.peer_server import MAX_MESSAGE_BYTES, Handler, make_peer_server
+from siskinlug.quarantine import make_quarantine
+from siskinlug.service_times import make_service_times
+from siskinlug.settings import Settings
+from siskinlug.supervisor import supervise
+from siskinlug.tables import NO_TABLES, Tables
+from siskinlug.timeline import Timeline, record
+from siskinlug.verdict import Reason, Verdict
+
+PEER_IDLE_S = 60.0
+PEER_BODY_S = 3600.0
+PEER_CONNECTIONS = 4096
+ADMIN_HEADER_BYTES = 16_384
+ALTERNATIVES = 3
+LEASE_CHECK_S = 0.2
+# Time to answer on kept connections with ``Connection: close`` before they close.
+LEAVE_QUIET_S = 0.5
+CANCEL_TIMEOUT_S = 1.0
+
+MessageT = TypeVar("MessageT")
+
+
+class Node:
+    """State of one node; ``open_node`` starts and stops what works on it."""
+
+    def __init__(self, settings: Settings, *, random: Random) -> None:
+        self.settings = settings
+        self.random = random
+        self.monotonic: Callable[[], float] = time.monotonic
+        self.incarnation = wall_clock_ms()
+        self.tables: Tables = NO_TABLES
+        self.timeline = Timeline(settings.name, HybridClock())
+        self.metrics = make_metrics()
+        self.connections = make_pool(monotonic=self.monotonic)
+        self.peer_client = make_peer_client(self.connections, token=settings.token)
+        self.targets = OwnedTargets(monotonic=self.monotonic, limits_of=self._limits_of)
+        self.attempts = make_attempts(
+            incarnation=self.incarnation, monotonic=self.monotonic
+        )
+        self.quarantine = make_quarantine(monotonic=self.monotonic)
+        self.owner = Owner(
+            targets=self.targets,
+            attempts=self.attempts,
+            quarantine=self.quarantine,
+            connections=self.connections,
+            is_ejected=lambda target, route: False,
+            monotonic=self.monotonic,
+        )
+        self.membership = make_membership(
+            self._own_record(),
+            call=self._call,
+            timeline=self.timeline,
+            monotonic=self.monotonic,
+            random=random,
+            seeds=[_address(peer) for peer in settings.peers],
+            on_silent=self.connections.drop_address,
+        )
+        self.entry = Entry(
+            directory=self.membership.directory,
+            owner=self.owner,
+            connections=self.connections,
+            tables=lambda: self.tables,
+            choose=make_choice(random=random),
+            penalty_ms=lambda node, route: 0.0,
+            cancel_attempt=self._cancel_attempt,
+            token=settings.token,
+            metrics=self.metrics,
+            monotonic=self.monotonic,
+            service_times=make_service_times(monotonic=self.monotonic),
+            account_rates=make_account_rates(monotonic=self.monotonic),
+        )
+        self.server_by_port: dict[str, InboundServer] = {}
+
+    def _own_record(self) -> NodeRecord:
+        settings = self.settings
+        return NodeRecord(
+            node=settings.name,
+            incarnation=self.incarnation,
+            version=0,
+            state="alive",
+            vm=settings.vm,
+            failure_domain=settings.failure_domain,
+            region=settings.region,
+            host=settings.host,
+            peer_port=settings.peer_port,
+            admin_port=settings.admin_port,
+        )
+
+    async def _call(self, *args: Any, **options: Any) -> Any:
+        return await call_peer(self.peer_client, *args, **options)
+
+    def _limits_of(self, announcement: Announcement) -> AdmissionLimits:
+        """Limits of a target from the pools that take its service."""
+        pools = [
+            pool
+            for pool in self.tables.pools_by_name.values()
+            if pool.service == announcement["service"]
+        ]
+        slots = min([p.slots for p in pools if p.slots] + [announcement["slots"]])
+        return AdmissionLimits(
+            slots=slots,
+            queue=min((pool.queue for pool in pools), default=0),
+            queue_wait_s=min((pool.queue_wait_s for pool in pools), default=0.0),
+        )
+
+    async def _cancel_attempt(
+        self, peer: NodeRecord, attempt: str, sent_at: float
+    ) -> Verdict:
+        """Ask an owner over a new connection what became of an attempt."""
+        result = await call_peer(
+            self.peer_client,
+            (peer.host, peer.peer_port),
+            "/peer/attempts/cancel",
+            CancelRequest(attempt=attempt, incarnation=peer.incarnation),
+            CancelAnswer,
+            timeout_s=CANCEL_TIMEOUT_S,
+            fresh=True,
+        )
+        if isinstance(result, Failure):
+            return Verdict.MAY_HAVE_RUN
+        # An answer on a new connection shows that the kept ones were at fault.
+        self.connections.drop_address((peer.host, peer.peer_port))
+        verdict = Verdict(result.unwrap()["verdict"])
+        return confirm(verdict, sent_at=sent_at, answered_at=self.monotonic())
+
+
+def _address(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    return host, int(port)
+
+
+def make_node(settings: Settings, *, random: Random | None = None) -> Node:
+    """Build a node that is not yet listening."""
+    return Node(settings, random=random or Random())
+
+
+def put_in_force(node: Node, tables: Tables) -> None:
+    """Use new tables for all requests from now on."""
+    node.tables = tables
+    for owned in node.targets.owned_by_target.values():
+        limits = node.targets.limits_of(owned.announcement)
+        resize(
+            owned.admission,
+            slots=limits.slots,
+            queue=limits.queue,
+            queue_wait_s=limits.queue_wait_s,
+        )
+
+
+def _announce(node: Node, message: Announcement) -> AnnouncementAnswer:
+    alternatives = [
+        f"{peer.host}:{peer.peer_port}"
+        for peer in node.membership.others()
+        if peer.state == "alive"
+    ]
+    node.random.shuffle(alternatives)
+    alternatives = alternatives[:ALTERNATIVES]
+    if node.owner.leaving:
+        # A lease of 0 sends the target to another node at once.
+        return AnnouncementAnswer(
+            lease_s=0.0, interval_s=INTERVAL_S, alternatives=alternatives
+        )
+    known = message["target"] in node.targets.owned_by_target
+    accepted = accept_announcement(node.targets, message, alternatives=alternatives)
+    if isinstance(accepted, Failure):
+        raise ValueError(accepted.failure())
+    if not known:
+        detail = f"{message['service']}, {message['slots']} slots"
+        record(node.timeline, "target_joined", message["target"], detail)
+    _publish_targets(node)
+    return accepted.unwrap()
+
+
+def _publish_targets(node: Node) -> None:
+    """Bring this node's record up to date with its targets."""
+    records = target_records(node.targets, {})
+    change_own(node.membership, targets=records)
+
+
+async def _watch_leases(node: Node) -> None:
+    """Drop targets that no longer renew."""
+    while True:
+        await asyncio.sleep(LEASE_CHECK_S)
+        for target in drop_expired(node.targets):
+            detail = f"no renewal for {LEASE_S:g} s"
+            record(node.timeline, "target_expired", target, detail)
+        _publish_targets(node)
+
+
+def _message_handler(
+    message_type: type[MessageT], handle: Callable[[MessageT], Awaitable[Any]]
+) -> Handler:
+    async def handler(body: bytes) -> bytes:
+        return encode(await handle(decode(body, message_type)))
+
+    return handler
+
+
+def _handlers(node: Node) -> Mapping[str, Handler]:
+    async def announce(message: Announcement) -> AnnouncementAnswer:
+        return _announce(node, message)
+
+    async def cancel_attempt(message: CancelRequest) -> CancelAnswer:
+        verdict = cancel(node.attempts, message["attempt"], message["incarnation"])
+        return CancelAnswer(verdict=verdict.value)
+
+    handler_by_path = {
+        "/announce": _message_handler(Announcement, announce),
+        "/peer/attempts/cancel": _message_handler(CancelRequest, cancel_attempt),
+    }
+    for path, handler in make_handlers(node.membership).items():
+        handler_by_path[path] = _message_handler(handler.message_type, handler.handle)
+    return handler_by_path
+
+
+def _open_servers(node: Node) -> None:
+    settings, limits = node.settings, node.settings.limits
+    directory = node.membership.directory
+
+    async def serve(inbound: Any) -> None:
+        await serve_caller(node.entry, inbound)
+
+    admin = make_admin_app(
+        {
+            "/nodes": nodes_page(directory),
+            "/targets": targets_page(directory),
+            "/tables": tables_page(lambda: node.tables),
+            "/timeline": timeline_page(node.timeline),
+            "/explain": explain_page(node.entry),
+        }
+    )
+    peer = make_peer_server(
+        node.owner, token=settings.token, handler_by_path=_handlers(node)
+    )
+    caller_limits = InboundLimits(
+        header_bytes=limits.header_bytes,
+        body_bytes=limits.body_bytes,
+        replay_bytes=limits.replay_bytes,
+        idle_s=limits.caller_idle_s,
+        body_s=limits.caller_body_s,
+        connections=limits.caller_connections,
+    )
+    # Attempts carry the caller's head and more headers of the entry.
+    peer_limits = InboundLimits(
+        header_bytes=limits.header_bytes + 4096,
+        body_bytes=max(limits.body_bytes, MAX_MESSAGE_BYTES),
+        replay_bytes=max(limits.replay_bytes, MAX_MESSAGE_BYTES),
+        idle_s=PEER_IDLE_S,
+        body_s=PEER_BODY_S,
+        connections=PEER_CONNECTIONS,
+    )
+    admin_limits = peer_limits._replace(header_bytes=ADMIN_HEADER_BYTES)
+    for name, host, port, server, bounds in (
+        ("peer_port", settings.host, settings.peer_port, peer, peer_limits),
+        ("admin_port", settings.admin_host, settings.admin_port, admin, admin_limits),
+        ("caller_port", settings.host, settings.caller_port, serve, caller_limits),
+    ):
+        try:
+            node.server_by_port[name] = open_server(
+                server, host=host, port=port, limits=bounds
+            )
+        except OSError as error:
+            raise PortError(name, f"{host}:{port}: {error.strerror}") from error
+
+
+class PortError(Exception):
+    """A port from the settings cannot be opened."""
+
+    def __init__(self, key: str, problem: str) -> None:
+        super().__init__(problem)
+        self.key = key
+
+
+@asynccontextmanager
+async def open_node(node: Node) -> AsyncIterator[None]:
+    """Listen on the node's ports and run its tasks inside the block.
+
+    Raises:
+        PortError: A port is taken; nothing is left listening.
+    """
+    jobs = {
+        "membership": lambda: run_membership(node.membership),
+        "leases": lambda: _watch_leases(node),
+    }
+    async with AsyncExitStack() as stack:
+        stack.callback(node.connections.close)
+        stack.callback(_stop_listening, node)
+        _open_servers(node)
+        await stack.enter_async_context(supervise(jobs))
+        record(node.timeline, "node_started", node.settings.name)
+        log_event(
+            "listening",
+            **{name: server.port for name, server in node.server_by_port.items()},
+        )
+        yield
+
+
+def _stop_listening(node: Node) -> None:
+    for server in node.server_by_port.values():
+        if server.http is not None:
+            server.http.stop()
+
+
+async def leave(node: Node, *, timeout_s: float) -> int:
+    """Leave the fleet: no new work, and everything in flight is finished.
+
+    Args:
+        node: The node.
+        timeout_s: Time for what is in flight, in seconds.
+
+    Returns:
+        Requests that were cut at the time limit.
+    """
+    record(node.timeline, "node_leaving", node.settings.name)
+    node.owner.leaving = True
+    announce_leaving(node.membership)
+    for owned in node.targets.owned_by_target.values():
+        close(owned.admission, Reason.NODE_LEAVING)
+    deadline = node.monotonic() + timeout_s
+    cut = 0
+    for name in ("caller_port", "peer_port"):
+        left_s = max(0.0, deadline - node.monotonic())
+        cut += await drain_server(
+            node.server_by_port[name], quiet_s=LEAVE_QUIET_S, timeout_s=left_s
+        )
+    await depart(node.membership)
+    if cut:
+        log_event("stop_limit_hit", write=logging.error, requests_cut=cut)
+    return cut
