Eject targets only with stay-in promises of other owners

Givers refuse unless their target is in, ready, healthy and clearly healthier.

Ruled out: one shared count of ejections, which needs agreement.

--- a/siskinlug/evidence.py
+++ b/siskinlug/evidence.py
@@ -174,7 +174,8 @@
     """Judge the target, by route and for all routes under ``*``.
 
     A route that fails alone raises only its own score: the score of ``*`` needs
-    evidence of the other routes too, unless there is only one route.
+    evidence of the other routes too. With only one route seen, ``*`` scores only
+    refused, reset, silent and cut requests, which concern the whole target.
     """
     now = evidence.monotonic()
     scopes = [evidence.all_routes, *evidence.scope_by_route.values()]
@@ -188,7 +189,10 @@
     if len(evidence.scope_by_route) > 1:
         others = min(scope.score() for scope in evidence.others_by_route.values())
         score = min(score, others / _OTHER_ROUTES_SCORE)
-    sickness_by_route[ALL_ROUTES] = evidence.all_routes.sickness(score)
+    all_routes = evidence.all_routes.sickness(score)
+    if len(evidence.scope_by_route) == 1 and all_routes.cause != "hard":
+        all_routes = all_routes._replace(score=0.0)
+    sickness_by_route[ALL_ROUTES] = all_routes
     return sickness_by_route
 
 
@@ -206,6 +210,14 @@
     return scope.recent
 
 
+def observed_requests(evidence: Evidence, route: str) -> int:
+    """Return how many requests of a route, or of ``*``, the evidence holds."""
+    if route == ALL_ROUTES:
+        return evidence.all_routes.count
+    scope = evidence.scope_by_route.get(route)
+    return 0 if scope is None else scope.count
+
+
 def forget(evidence: Evidence, route: str) -> None:
     """Drop the evidence of a route, or all with ``*``; usual times are kept.
 
--- /dev/null
+++ b/siskinlug/promises.py
@@ -0,0 +1,117 @@
+"""Stay-in promises: undertakings of owners that a target will not be ejected.
+
+The giver's side and the messages of ``POST /peer/promises``; the holder's side is in
+``siskinlug.ejection``. A promise is a lease on the monotonic clock of its giver,
+counted from the answer. The holder counts from when it sent its request, so the
+giver's lease always outlasts the holder's.
+"""
+
+from typing import NamedTuple, TypedDict
+
+from siskinlug.evidence import ALL_ROUTES, Sickness
+
+PROMISE_LEASE_S = 5.0
+
+
+class PromiseRequest(TypedDict):
+    """Ask for promises of the owner's targets, renew them, or release them.
+
+    ``scope`` is a route name or ``*``. ``number`` rises with each request of one
+    holder, so that a release that arrives late does not end a newer promise.
+    ``sickness`` is what the holder knows of the target it wants to eject.
+    """
+
+    holder: str
+    holder_node: str
+    pool: str
+    scope: str
+    number: int
+    targets: list[str]
+    sickness: Sickness
+    release: bool
+
+
+class PromiseAnswer(TypedDict):
+    """Slots promised by target, and the reason by target that was refused."""
+
+    slots_by_target: dict[str, int]
+    refusal_by_target: dict[str, str]
+
+
+class Promise(NamedTuple):
+    """A promise given.
+
+    Attributes:
+        expires: Monotonic time of the giver.
+        number: Highest number of the holder's requests so far.
+    """
+
+    expires: float
+    number: int
+
+
+PromiseKey = tuple[str, str, str, str]
+
+
+class Promises:
+    """The promises given for one target, by holder, its node, pool and scope."""
+
+    def __init__(self) -> None:
+        self.promise_by_key: dict[PromiseKey, Promise] = {}
+
+
+def promise_key(request: PromiseRequest) -> PromiseKey:
+    """Return the key of the promise that a request is about."""
+    return (
+        request["holder"],
+        request["holder_node"],
+        request["pool"],
+        request["scope"],
+    )
+
+
+def give(promises: Promises, request: PromiseRequest, now: float) -> None:
+    """Give or renew a promise, counted from now."""
+    key = promise_key(request)
+    held = promises.promise_by_key.get(key)
+    number = request["number"] if held is None else max(held.number, request["number"])
+    promises.promise_by_key[key] = Promise(now + PROMISE_LEASE_S, number)
+
+
+def release(promises: Promises, request: PromiseRequest) -> None:
+    """End a promise unless its holder has asked for it again since."""
+    key = promise_key(request)
+    held = promises.promise_by_key.get(key)
+    if held is not None and held.number <= request["number"]:
+        del promises.promise_by_key[key]
+
+
+def is_promised(promises: Promises, request: PromiseRequest, now: float) -> bool:
+    """Whether the promise that a request is about is in force."""
+    held = promises.promise_by_key.get(promise_key(request))
+    return held is not None and held.expires > now
+
+
+def forbids(promises: Promises, scope: str, now: float) -> bool:
+    """Whether a promise in force forbids ejecting the target for a scope.
+
+    A promise for a route forbids ejecting for that route and for all, and a promise
+    for all forbids any.
+    """
+    for key, promise in list(promises.promise_by_key.items()):
+        if promise.expires <= now:
+            del promises.promise_by_key[key]
+    return any(
+        ALL_ROUTES in (scope, promised) or scope == promised
+        for _, _, _, promised in promises.promise_by_key
+    )
+
+
+def clearly_healthier(own: Sickness, other: Sickness) -> bool:
+    """Whether a target is clearly healthier than one that is to be ejected.
+
+    When all targets fail or slow down together none is, so overload ejects nothing.
+    """
+    if other.cause == "latency":
+        return own.latency_ratio * 2 <= other.latency_ratio
+    return own.error_ratio * 2 + 0.05 <= other.error_ratio
