--- a/siskinlug/configuration.py
+++ b/siskinlug/configuration.py
@@ -47,7 +47,8 @@
         note: What the operator says about it.
         at_ms: Wall clock of the publisher, milliseconds since the epoch.
         offset: Offset of the record in the log.
-        problem: Why it was refused; empty if it was accepted.
+        cause: ``conflict``, ``invalid`` or ``cancelled``; empty if it was accepted.
+        problem: Why it was refused, as a sentence.
     """
 
     change: str
@@ -58,7 +59,8 @@
     note: str
     at_ms: int
     offset: int
-    problem: str
+    cause: str = ""
+    problem: str = ""
 
 
 class ConfigurationState(NamedTuple):
@@ -182,6 +184,7 @@
                     "",
                     cancel.at_ms,
                     offset,
+                    "cancelled",
                     f"cancelled by {cancel.operator} before it arrived",
                 ),
             )
@@ -247,18 +250,21 @@
     return next((c for c in reversed(state.changes) if c.change == change), None)
 
 
-def last_accepted(state: ConfigurationState, table: str) -> Change | None:
-    """Return the change that put the version in force, if it is still kept."""
-    version = state.version(table)
+def accepted_as(state: ConfigurationState, table: str, version: int) -> Change | None:
+    """Return the change that put a version in force, if it is still kept."""
     return next(
-        (c for c in reversed(state.changes) if (c.table, c.version) == (table, version)),
+        (
+            c
+            for c in reversed(state.changes)
+            if (c.table, c.version) == (table, version)
+        ),
         None,
     )
 
 
 def conflict(state: ConfigurationState, table: str, base: int) -> str:
     """Say which version is in force instead of ``base``, and whose it is."""
-    other = last_accepted(state, table)
+    other = accepted_as(state, table, state.version(table))
     if other is None:
         return f"{table} is at version {state.version(table)}, not {base}"
     note = f": {other.note}" if other.note else ""
@@ -274,16 +280,18 @@
     table = publish.table
     if table not in TABLES or find_change(state, publish.id) is not None:
         return state
-    after = state
-    problem = ""
+    after, cause, problem = state, "", ""
     if publish.base != state.version(table):
-        problem = conflict(state, table, publish.base)
+        cause, problem = "conflict", conflict(state, table, publish.base)
     elif len(publish.text) > TEXT_CHARS_MAX:
+        cause = "invalid"
         problem = f"the text is longer than {TEXT_CHARS_MAX} characters"
     else:
         after = _with_table(state, table, publish.text)
-        problem = "; ".join(map(str, check_texts(*_texts(after))[:3]))
-    version = 0 if problem else after.version(table)
+        if faults := check_texts(*_texts(after)):
+            after, cause = state, "invalid"
+            problem = "; ".join(map(str, faults[:3]))
+    version = 0 if cause else after.version(table)
     change = Change(
         publish.id,
         table,
@@ -293,9 +301,10 @@
         publish.note,
         publish.at_ms,
         offset,
+        cause,
         problem,
     )
-    return _decide(state if problem else after, change)
+    return _decide(after, change)
 
 
 def _decide(state: ConfigurationState, change: Change) -> ConfigurationState:
@@ -305,13 +314,9 @@
     return state._replace(changes=(*state.changes, change)[-CHANGES_KEPT:])
 
 
-def _with_table(
-    state: ConfigurationState, table: str, text: str
-) -> ConfigurationState:
+def _with_table(state: ConfigurationState, table: str, text: str) -> ConfigurationState:
     if table == "routes":
-        return state._replace(
-            routes_text=text, routes_version=state.routes_version + 1
-        )
+        return state._replace(routes_text=text, routes_version=state.routes_version + 1)
     return state._replace(pools_text=text, pools_version=state.pools_version + 1)
 
 
@@ -321,7 +326,7 @@
 
 def _decode(record: Any) -> _Record | None:
     try:
-        return msgspec.convert(record, _Record)  # type: ignore[arg-type]
+        return msgspec.convert(record, _Record)
     except msgspec.ValidationError:
         return None
 
--- /dev/null
+++ b/tests/fake_log.py
@@ -0,0 +1,71 @@
+"""A log in memory whose appends can be lost, late or doubled, for property tests."""
+
+import json
+from collections.abc import Iterator
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+from siskinlug.log_client import Effect, Log, LogError, LogPage, LogRecord
+
+_LOST = Failure(LogError(Effect.UNKNOWN, "answer lost"))
+
+
+class FakeLog:
+    """One stream; ``all_records`` also holds what was trimmed, for the reference.
+
+    Attributes:
+        faults: Fates of the next appends: ``ok``, ``refused`` (not applied), ``lost``
+            (applied, answer lost), ``late`` (answer lost, applied by
+            ``deliver_late``), ``doubled`` (applied twice).
+    """
+
+    def __init__(self) -> None:
+        self.all_records: list[Any] = []
+        self.first = 0
+        self.down = False
+        self.late: list[Any] = []
+        self.faults: Iterator[str] = iter(())
+
+    def log(self) -> Log:
+        return Log(self._append, self._read, lambda: None)
+
+    @staticmethod
+    async def down_read() -> Result[LogPage, LogError]:
+        return Failure(LogError(Effect.UNAVAILABLE, "down"))
+
+    def add(self, record: Any) -> int:
+        # Through text, as on the wire.
+        self.all_records.append(json.loads(json.dumps(record)))
+        return len(self.all_records) - 1
+
+    def trim(self, keep: int) -> None:
+        self.first = max(self.first, len(self.all_records) - keep)
+
+    def deliver_late(self) -> None:
+        while self.late:
+            self.add(self.late.pop())
+
+    async def _append(
+        self, stream: str, record: Any, *, timeout_s: float = 0
+    ) -> Result[int, LogError]:
+        fate = next(self.faults, "ok")
+        if self.down or fate == "refused":
+            return Failure(LogError(Effect.NOT_APPLIED, "down"))
+        if fate == "late":
+            self.late.append(record)
+            return _LOST
+        offset = self.add(record)
+        if fate == "doubled":
+            self.add(record)
+        return _LOST if fate == "lost" else Success(offset)
+
+    async def _read(
+        self, stream: str, start: int, *, limit: int = 100, timeout_s: float = 0
+    ) -> Result[LogPage, LogError]:
+        if self.down:
+            return Failure(LogError(Effect.UNAVAILABLE, "down"))
+        end = len(self.all_records)
+        offsets = range(max(start, self.first), end)[:limit]
+        records = tuple(LogRecord(o, self.all_records[o]) for o in offsets)
+        return Success(LogPage(self.first, end, records))
