--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,149 @@
+"""The operators' command line against the log stand-in and a canned admin port."""
+
+import asyncio
+import json
+import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import Any
+
+import testtools
+from testtools.matchers import Contains, Equals
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+from typer.testing import CliRunner
+
+from siskinlug.cli import Exit, app
+from standins.log_service import LogState, serve
+
+EXAMPLE = Path(__file__).resolve().parent.parent / "examples" / "robe-hire"
+ROUTES, POOLS = EXAMPLE / "routes.ini", EXAMPLE / "pools.ini"
+
+
+class _AdminHandler(RequestHandler):
+    """Answers as the admin port of a node in a fleet of two, one of them gone."""
+
+    def initialize(self, ports: list[int], behind: list[bool]) -> None:
+        self.ports, self.behind = ports, behind
+
+    def get(self, page: str) -> None:
+        if page == "configuration":
+            self.write({"pools_version": 0 if self.behind[0] else 1})
+            return
+        nodes = [
+            {"node": "n1", "state": "alive", "host": "127.0.0.1"},
+            {"node": "n2", "state": "dead", "host": "127.0.0.1"},
+        ]
+        self.write(json.dumps([n | {"admin_port": self.ports[0]} for n in nodes]))
+
+
+@contextmanager
+def _services() -> Iterator[tuple[LogState, str, str, list[bool]]]:
+    """Serve a log and an admin port from a thread, since the command blocks."""
+    state, behind = LogState(), [False]
+    ports: list[int] = []
+    ready, loops = threading.Event(), []
+
+    async def run() -> None:
+        _, log_port = serve(state)
+        sockets = bind_sockets(0, "127.0.0.1")
+        admin_port = sockets[0].getsockname()[1]
+        options = {"ports": [admin_port], "behind": behind}
+        HTTPServer(Application([(r"/(\w+)", _AdminHandler, options)])).add_sockets(
+            sockets
+        )
+        ports.extend([log_port, admin_port])
+        stop = asyncio.Event()
+        loops.append((asyncio.get_running_loop(), stop))
+        ready.set()
+        await stop.wait()
+
+    thread = threading.Thread(target=asyncio.run, args=(run(),))
+    thread.start()
+    ready.wait()
+    log, admin = (f"http://127.0.0.1:{port}" for port in ports)
+    try:
+        yield state, log, admin, behind
+    finally:
+        loop, stop = loops[0]
+        loop.call_soon_threadsafe(stop.set)
+        thread.join()
+
+
+def _run(*arguments: object) -> Any:
+    return CliRunner().invoke(app, [str(argument) for argument in arguments])
+
+
+def _json(*arguments: object) -> Any:
+    return json.loads(_run(*arguments, "--json").stdout)
+
+
+class CliTest(testtools.TestCase):
+    def test_check_lists_every_fault(self) -> None:
+        """Guards against faults that are found one at a time."""
+        self.assertThat(_run("check", ROUTES, POOLS).exit_code, Equals(Exit.DONE))
+        with TemporaryDirectory() as directory:
+            faulty = Path(directory) / "pools.ini"
+            faulty.write_text("[p]\nservice = s\nslots = -1\nqueue = x\n")
+            result = _run("check", ROUTES, faulty)
+            self.assertThat(result.exit_code, Equals(Exit.INVALID))
+            # Two keys, and nine routes to three pools that are missing.
+            self.assertThat(result.stderr.count("\n"), Equals(11))
+            self.assertThat(result.stderr, Contains(f"{faulty}:3: [p] slots: -1 is"))
+            faults = _json("check", ROUTES, faulty)["faults"]
+            self.assertThat({f["line"] for f in faults} >= {3, 4}, Equals(True))
+
+    def test_publish_diff_and_history(self) -> None:
+        with _services() as (_, log, _, _):
+            first = _json("publish", "pools", POOLS, "--log", log, "--base", 0)
+            self.assertThat(first["version"], Equals(1))
+            same = _run("diff", "pools", POOLS, "--log", log)
+            self.assertThat(same.exit_code, Equals(Exit.DONE))
+            new = _run("diff", "routes", ROUTES, "--log", log)
+            self.assertThat(new.exit_code, Equals(Exit.DIFFERENT))
+            asked = CliRunner().invoke(
+                app, ["publish", "routes", str(ROUTES), "--log", log], input="n\n"
+            )
+            self.assertThat(asked.exit_code, Equals(Exit.CANCELLED))
+            stale = _run("publish", "pools", POOLS, "--log", log, "--base", 0)
+            self.assertThat(stale.exit_code, Equals(Exit.CONFLICT))
+            self.assertThat(stale.stderr, Contains(first["change"]))
+            done = _run("publish", "routes", ROUTES, "--log", log, "--yes")
+            self.assertThat(done.exit_code, Equals(Exit.DONE))
+            changes = _json("history", "--log", log)
+            self.assertThat([c["table"] for c in changes], Equals(["routes", "pools"]))
+
+    def test_publish_waits_for_every_living_node(self) -> None:
+        """Guards against success while a node still serves by the old table."""
+        arguments = ["publish", "pools", POOLS, "--base", 0, "--wait", 0.3]
+        for is_behind, code in [(False, Exit.DONE), (True, Exit.NOT_IN_FORCE)]:
+            with _services() as (_, log, admin, behind):
+                behind[0] = is_behind
+                result = _run(*arguments, "--log", log, "--node", admin)
+                self.assertThat(result.exit_code, Equals(code))
+
+    def test_log_that_is_down_has_its_own_exit_code(self) -> None:
+        with _services() as (state, log, _, _):
+            state.faults.down = "refuse"
+            for command in (["diff", "pools", POOLS], ["history"]):
+                result = _run(*command, "--log", log)
+                self.assertThat(result.exit_code, Equals(Exit.UNREACHABLE))
+
+    def test_settle_cancels_what_did_not_arrive(self) -> None:
+        with _services() as (_, log, _, _):
+            settled = _run("settle", "pools", "c1", "--base", 0, "--log", log)
+            self.assertThat(settled.exit_code, Equals(Exit.CANCELLED))
+            late = _run(
+                "publish", "pools", POOLS, "--base", 0, "--id", "c1", "--log", log
+            )
+            self.assertThat(late.exit_code, Equals(Exit.CANCELLED))
+
+    def test_show_nodes(self) -> None:
+        with _services() as (_, _, admin, _):
+            shown = _run("show", "nodes", "--node", admin)
+            self.assertThat(shown.stdout, Contains("n2"))
+            gone = _run("show", "nodes", "--node", "http://127.0.0.1:1")
+            self.assertThat(gone.exit_code, Equals(Exit.UNREACHABLE))
