--- a/siskinlug/logs.py
+++ b/siskinlug/logs.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from absl import logging
+from absl import flags, logging
 
 _LEVELS = {
     "debug": logging.DEBUG,
@@ -46,6 +46,8 @@
         node: Node id, written on each line.
         level: ``debug``, ``info``, ``warning`` or ``error``.
     """
+    # The daemon has no absl flags; unparsed ones would print a warning.
+    flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     handler = logging.get_absl_handler()
     handler.setFormatter(_JsonFormatter(node))
--- a/siskinlug/node.py
+++ b/siskinlug/node.py
@@ -22,18 +22,16 @@
 from siskinlug.admission import close, resize
 from siskinlug.announcements import (
     INTERVAL_S,
-    LEASE_S,
     AdmissionLimits,
     OwnedTargets,
     accept_announcement,
-    drop_expired,
-    target_records,
 )
 from siskinlug.attempts import cancel, confirm, make_attempts
 from siskinlug.choice import make_choice
 from siskinlug.clock import HybridClock, wall_clock_ms
 from siskinlug.connections import make_pool
 from siskinlug.directory import NodeRecord
+from siskinlug.ejection import answer_promises
 from siskinlug.entry import Entry, serve_caller
 from siskinlug.inbound import InboundLimits, InboundServer, drain_server, open_server
 from siskinlug.logs import log_event
@@ -57,23 +55,25 @@
 from siskinlug.owner import Owner
 from siskinlug.peer_client import call_peer, make_peer_client
 from siskinlug.peer_server import MAX_MESSAGE_BYTES, Handler, make_peer_server
+from siskinlug.promises import PromiseAnswer, PromiseRequest
 from siskinlug.quarantine import make_quarantine
 from siskinlug.service_times import make_service_times
 from siskinlug.settings import Settings
 from siskinlug.supervisor import supervise
 from siskinlug.tables import NO_TABLES, Tables
-from siskinlug.timeline import Timeline, record
+from siskinlug.timeline import Kind, Timeline, record
 from siskinlug.verdict import Reason, Verdict
+from siskinlug.watch import Watch, is_ejected, publish_targets, run_watch
 
 PEER_IDLE_S = 60.0
 PEER_BODY_S = 3600.0
 PEER_CONNECTIONS = 4096
 ADMIN_HEADER_BYTES = 16_384
 ALTERNATIVES = 3
-LEASE_CHECK_S = 0.2
 # Time to answer on kept connections with ``Connection: close`` before they close.
 LEAVE_QUIET_S = 0.5
 CANCEL_TIMEOUT_S = 1.0
+PROMISES_PATH = "/peer/promises"
 
 MessageT = TypeVar("MessageT")
 
@@ -101,7 +101,7 @@
             attempts=self.attempts,
             quarantine=self.quarantine,
             connections=self.connections,
-            is_ejected=lambda target, route: False,
+            is_ejected=lambda target, route: is_ejected(self.watch, target, route),
             monotonic=self.monotonic,
         )
         self.membership = make_membership(
@@ -113,6 +113,7 @@
             seeds=[_address(peer) for peer in settings.peers],
             on_silent=self.connections.drop_address,
         )
+        self.watch = _make_watch(self)
         self.entry = Entry(
             directory=self.membership.directory,
             owner=self.owner,
@@ -224,25 +225,42 @@
         raise ValueError(accepted.failure())
     if not known:
         detail = f"{message['service']}, {message['slots']} slots"
-        record(node.timeline, "target_joined", message["target"], detail)
-    _publish_targets(node)
+        record(node.timeline, Kind.TARGET_ANNOUNCED, message["target"], detail)
+    publish_targets(node.watch)
     return accepted.unwrap()
 
 
-def _publish_targets(node: Node) -> None:
-    """Bring this node's record up to date with its targets."""
-    records = target_records(node.targets, {})
-    change_own(node.membership, targets=records)
-
-
-async def _watch_leases(node: Node) -> None:
-    """Drop targets that no longer renew."""
-    while True:
-        await asyncio.sleep(LEASE_CHECK_S)
-        for target in drop_expired(node.targets):
-            detail = f"no renewal for {LEASE_S:g} s"
-            record(node.timeline, "target_expired", target, detail)
-        _publish_targets(node)
+def _make_watch(node: Node) -> Watch:
+    async def call_promises(
+        peer: str, request: PromiseRequest
+    ) -> PromiseAnswer | None:
+        if peer == node.settings.name:
+            return answer_promises(node.watch.ejection_by_target, request)
+        found = node.membership.directory.record_by_node.get(peer)
+        if found is None:
+            return None
+        result: Any = await call_peer(
+            node.peer_client,
+            (found.host, found.peer_port),
+            PROMISES_PATH,
+            request,
+            PromiseAnswer,
+        )
+        return result.value_or(None)
+
+    return Watch(
+        targets=node.targets,
+        directory=node.membership.directory,
+        tables=lambda: node.tables,
+        connections=node.connections,
+        call_promises=call_promises,
+        publish=lambda records: change_own(node.membership, targets=records),
+        is_leaving=lambda: node.owner.leaving,
+        timeline=node.timeline,
+        random=node.random,
+        ejection_by_target={},
+        task_by_target={},
+    )
 
 
 def _message_handler(
@@ -262,7 +280,11 @@
         verdict = cancel(node.attempts, message["attempt"], message["incarnation"])
         return CancelAnswer(verdict=verdict.value)
 
+    async def promise(message: PromiseRequest) -> PromiseAnswer:
+        return answer_promises(node.watch.ejection_by_target, message)
+
     handler_by_path = {
+        PROMISES_PATH: _message_handler(PromiseRequest, promise),
         "/announce": _message_handler(Announcement, announce),
         "/peer/attempts/cancel": _message_handler(CancelRequest, cancel_attempt),
     }
@@ -338,18 +360,16 @@
     """
     jobs = {
         "membership": lambda: run_membership(node.membership),
-        "leases": lambda: _watch_leases(node),
+        "targets": lambda: run_watch(node.watch),
     }
     async with AsyncExitStack() as stack:
         stack.callback(node.connections.close)
         stack.callback(_stop_listening, node)
         _open_servers(node)
         await stack.enter_async_context(supervise(jobs))
-        record(node.timeline, "node_started", node.settings.name)
-        log_event(
-            "listening",
-            **{name: server.port for name, server in node.server_by_port.items()},
-        )
+        record(node.timeline, Kind.NODE_STARTED, node.settings.name)
+        ports = {name: server.port for name, server in node.server_by_port.items()}
+        log_event("listening", ports=ports)
         yield
 
 
@@ -369,7 +389,7 @@
     Returns:
         Requests that were cut at the time limit.
     """
-    record(node.timeline, "node_leaving", node.settings.name)
+    record(node.timeline, Kind.NODE_STOPPING, node.settings.name)
     node.owner.leaving = True
     announce_leaving(node.membership)
     for owned in node.targets.owned_by_target.values():
--- a/siskinlug/owner.py
+++ b/siskinlug/owner.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+from functools import partial
 from typing import NamedTuple
 
 from returns.result import Failure, Result, Success
@@ -122,11 +123,10 @@
     if refusal := _refusal_before_queue(owner, request):
         yield Failure(refusal)
         return
-    task = asyncio.current_task()
     begun = begin(
         owner.attempts,
         request.attempt,
-        on_cancel=lambda: task.cancel() if task is not None else None,
+        on_cancel=partial(_cancel_task, asyncio.current_task()),
     )
     if isinstance(begun, Failure):
         yield Failure(begun.failure())
@@ -163,6 +163,11 @@
         finish(owner.attempts, request.attempt, ended)
 
 
+def _cancel_task(task: asyncio.Task | None) -> None:
+    if task is not None:
+        task.cancel()
+
+
 def _refusal_before_queue(owner: Owner, request: AttemptRequest) -> Refusal | None:
     if owner.leaving:
         return not_run(Reason.NODE_LEAVING)
