--- a/siskinlug/node.py
+++ b/siskinlug/node.py
@@ -231,9 +231,7 @@
 
 
 def _make_watch(node: Node) -> Watch:
-    async def call_promises(
-        peer: str, request: PromiseRequest
-    ) -> PromiseAnswer | None:
+    async def call_promises(peer: str, request: PromiseRequest) -> PromiseAnswer | None:
         if peer == node.settings.name:
             return answer_promises(node.watch.ejection_by_target, request)
         found = node.membership.directory.record_by_node.get(peer)
