--- /dev/null
+++ b/bench/run_demo.py
@@ -0,0 +1,120 @@
+"""``make run``: a small fleet as separate processes, served requests, a clean stop."""
+
+import subprocess
+import sys
+import time
+from collections import Counter
+from pathlib import Path
+
+from rich.console import Console
+from rich.table import Table
+
+from bench.fleet import (
+    ADMIN_PORT,
+    CALLER_PORT,
+    ROOT,
+    Fleet,
+    NodeSpec,
+    TargetSpec,
+    open_fleet,
+)
+
+NODES = 6
+DOMAINS = ("glasgow-1", "glasgow-2", "edinburgh-1", "edinburgh-2")
+SERVICES = ("catalogue", "bookings", "records")
+TABLES = ROOT / "examples" / "robe-hire"
+REQUESTS = 24
+
+
+def start_fleet(fleet: Fleet, *, nodes: int = NODES) -> None:
+    """Start the log, a daemon for each VM and a target of each service beside it.
+
+    Args:
+        fleet: An empty fleet.
+        nodes: Number of VMs; the failure domains take turns.
+    """
+    fleet.start_log()
+    for number in range(1, nodes + 1):
+        fleet.start_node(NodeSpec(number, DOMAINS[number % len(DOMAINS)]))
+    for number in range(1, nodes + 1):
+        for index, service in enumerate(SERVICES):
+            spec = TargetSpec(f"{service}-{number}", service, 6, number)
+            fleet.start_target(spec, port=9001 + index)
+
+
+def publish(fleet: Fleet, table: str, file: Path) -> str:
+    """Publish a table through the command line and return what it printed.
+
+    Raises:
+        RuntimeError: It was not accepted.
+    """
+    done = subprocess.run(
+        [
+            sys.executable,
+            "-m",
+            "siskinlug.cli",
+            "publish",
+            table,
+            str(file),
+            "--log",
+            fleet.log_url,
+            "--node",
+            f"http://{fleet.host(1)}:{ADMIN_PORT}",
+        ],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+    )
+    if done.returncode:
+        raise RuntimeError(f"publish {table}: {done.stdout}{done.stderr}")
+    return done.stdout.strip()
+
+
+def _send_requests(fleet: Fleet, console: Console) -> None:
+    table = Table("request", "entry", "status", "served by", "ms")
+    served: Counter[str] = Counter()
+    for number in range(REQUESTS):
+        node = fleet.nodes[number % len(fleet.nodes)].number
+        path = ("/catalogue/robes", "/bookings/fittings", "/records/orders")[number % 3]
+        started = time.perf_counter()
+        reply = fleet.request(
+            node, "GET", f"{path}?ms=5&bytes=512", headers={"X-Account": "parish-7"}
+        )
+        took_ms = (time.perf_counter() - started) * 1000
+        by = reply.headers.get("Siskinlug-Served-By", "-")
+        served[by] += 1
+        table.add_row(
+            f"GET {path}", f"node-{node}", str(reply.status), by, f"{took_ms:.1f}"
+        )
+    console.print(table)
+    console.print(f"{sum(served.values())} requests over {len(served)} targets")
+
+
+def main() -> int:
+    """Run the demo; returns 0 when every step succeeded."""
+    console = Console(width=110)
+    with open_fleet(ROOT / "run") as fleet:
+        console.print(f"starting 1 log, {NODES} daemons, {NODES * 3} targets")
+        start_fleet(fleet)
+        fleet.wait_joined(targets=NODES * len(SERVICES))
+        for name in ("pools", "routes"):
+            console.print(publish(fleet, name, TABLES / f"{name}.ini"))
+        fleet.wait_versions(routes=1, pools=1)
+        _send_requests(fleet, console)
+        lost = fleet.process_by_name["node-2"]
+        console.print("kill -9 node-2, then the same requests again")
+        lost.kill()
+        fleet.nodes = [node for node in fleet.nodes if node.name != "node-2"]
+        _send_requests(fleet, console)
+        host = fleet.host(1)
+        console.print(f"callers: http://{host}:{CALLER_PORT}/")
+        console.print(f"admin:   http://{host}:{ADMIN_PORT}/ (also /metrics)")
+        console.print("pages:   docs/design.md, docs/operations.md; logs in run/")
+    console.print("all processes stopped")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
