--- a/siskinlug/node.py
+++ b/siskinlug/node.py
@@ -1,14 +1,14 @@
 """One node: builds the state of all roles and connects them."""
 
-import asyncio
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from contextlib import AsyncExitStack, asynccontextmanager
 from random import Random
 from typing import Any, TypeVar
 
+import msgspec
 from absl import logging
-from returns.result import Failure
+from returns.result import Failure, Success
 
 from siskinlug.account_rates import make_account_rates
 from siskinlug.admin import (
@@ -29,18 +29,28 @@
 from siskinlug.attempts import cancel, confirm, make_attempts
 from siskinlug.choice import make_choice
 from siskinlug.clock import HybridClock, wall_clock_ms
+from siskinlug.config_sync import (
+    answer_configuration,
+    follow_configuration,
+    make_configuration,
+    note_position,
+)
+from siskinlug.configuration import position_of
 from siskinlug.connections import make_pool
 from siskinlug.directory import NodeRecord
 from siskinlug.ejection import answer_promises
 from siskinlug.entry import Entry, serve_caller
 from siskinlug.inbound import InboundLimits, InboundServer, drain_server, open_server
+from siskinlug.log_client import open_log
 from siskinlug.logs import log_event
 from siskinlug.membership import (
+    Payload,
     announce_leaving,
     change_own,
     depart,
     make_handlers,
     make_membership,
+    push_payload,
     run_membership,
 )
 from siskinlug.messages import (
@@ -48,6 +58,7 @@
     AnnouncementAnswer,
     CancelAnswer,
     CancelRequest,
+    Position,
     decode,
     encode,
 )
@@ -60,7 +71,7 @@
 from siskinlug.service_times import make_service_times
 from siskinlug.settings import Settings
 from siskinlug.supervisor import supervise
-from siskinlug.tables import NO_TABLES, Tables
+from siskinlug.tables import Tables
 from siskinlug.timeline import Kind, Timeline, record
 from siskinlug.verdict import Reason, Verdict
 from siskinlug.watch import Watch, is_ejected, publish_targets, run_watch
@@ -74,6 +85,7 @@
 LEAVE_QUIET_S = 0.5
 CANCEL_TIMEOUT_S = 1.0
 PROMISES_PATH = "/peer/promises"
+CONFIGURATION_PATH = "/peer/configuration"
 
 MessageT = TypeVar("MessageT")
 
@@ -86,7 +98,7 @@
         self.random = random
         self.monotonic: Callable[[], float] = time.monotonic
         self.incarnation = wall_clock_ms()
-        self.tables: Tables = NO_TABLES
+        self.log = open_log(settings.log_url, monotonic=self.monotonic)
         self.timeline = Timeline(settings.name, HybridClock())
         self.metrics = make_metrics()
         self.connections = make_pool(monotonic=self.monotonic)
@@ -104,6 +116,12 @@
             is_ejected=lambda target, route: is_ejected(self.watch, target, route),
             monotonic=self.monotonic,
         )
+        self.configuration = make_configuration(
+            self.timeline,
+            on_change=lambda _tables: _apply_tables(self),
+            random=random,
+            monotonic=self.monotonic,
+        )
         self.membership = make_membership(
             self._own_record(),
             call=self._call,
@@ -112,13 +130,23 @@
             random=random,
             seeds=[_address(peer) for peer in settings.peers],
             on_silent=self.connections.drop_address,
+            payloads=[
+                Payload(
+                    name="configuration",
+                    value_type=Position,
+                    write=lambda _urgent: position_of(self.configuration.state),
+                    read=lambda peer, position: note_position(
+                        self.configuration, peer, position
+                    ),
+                )
+            ],
         )
         self.watch = _make_watch(self)
         self.entry = Entry(
             directory=self.membership.directory,
             owner=self.owner,
             connections=self.connections,
-            tables=lambda: self.tables,
+            tables=self.tables,
             choose=make_choice(random=random),
             penalty_ms=lambda node, route: 0.0,
             cancel_attempt=self._cancel_attempt,
@@ -130,6 +158,10 @@
         )
         self.server_by_port: dict[str, InboundServer] = {}
 
+    def tables(self) -> Tables:
+        """Return the tables in force."""
+        return self.configuration.tables
+
     def _own_record(self) -> NodeRecord:
         settings = self.settings
         return NodeRecord(
@@ -152,7 +184,7 @@
         """Limits of a target from the pools that take its service."""
         pools = [
             pool
-            for pool in self.tables.pools_by_name.values()
+            for pool in self.tables().pools_by_name.values()
             if pool.service == announcement["service"]
         ]
         slots = min([p.slots for p in pools if p.slots] + [announcement["slots"]])
@@ -193,9 +225,8 @@
     return Node(settings, random=random or Random())
 
 
-def put_in_force(node: Node, tables: Tables) -> None:
-    """Use new tables for all requests from now on."""
-    node.tables = tables
+def _apply_tables(node: Node) -> None:
+    """Resize the queues of owned targets after a change of the tables."""
     for owned in node.targets.owned_by_target.values():
         limits = node.targets.limits_of(owned.announcement)
         resize(
@@ -230,6 +261,29 @@
     return accepted.unwrap()
 
 
+async def _follow_configuration(node: Node) -> None:
+    async def fetch(peer: str, position: Position) -> bytes | None:
+        found = node.membership.directory.record_by_node.get(peer)
+        if found is None:
+            return None
+        result: Any = await call_peer(
+            node.peer_client,
+            (found.host, found.peer_port),
+            CONFIGURATION_PATH,
+            position,
+            msgspec.Raw,
+        )
+        return bytes(result.unwrap()) if isinstance(result, Success) else None
+
+    await follow_configuration(
+        node.configuration,
+        node.log,
+        fetch=fetch,
+        push=lambda: push_payload(node.membership, "configuration"),
+        nodes=lambda: 1 + len(node.membership.others()),
+    )
+
+
 def _make_watch(node: Node) -> Watch:
     async def call_promises(peer: str, request: PromiseRequest) -> PromiseAnswer | None:
         if peer == node.settings.name:
@@ -249,7 +303,7 @@
     return Watch(
         targets=node.targets,
         directory=node.membership.directory,
-        tables=lambda: node.tables,
+        tables=node.tables,
         connections=node.connections,
         call_promises=call_promises,
         publish=lambda records: change_own(node.membership, targets=records),
@@ -278,10 +332,14 @@
         verdict = cancel(node.attempts, message["attempt"], message["incarnation"])
         return CancelAnswer(verdict=verdict.value)
 
+    async def configuration(body: bytes) -> bytes:
+        return answer_configuration(node.configuration, body)
+
     async def promise(message: PromiseRequest) -> PromiseAnswer:
         return answer_promises(node.watch.ejection_by_target, message)
 
     handler_by_path = {
+        CONFIGURATION_PATH: configuration,
         PROMISES_PATH: _message_handler(PromiseRequest, promise),
         "/announce": _message_handler(Announcement, announce),
         "/peer/attempts/cancel": _message_handler(CancelRequest, cancel_attempt),
@@ -302,7 +360,7 @@
         {
             "/nodes": nodes_page(directory),
             "/targets": targets_page(directory),
-            "/tables": tables_page(lambda: node.tables),
+            "/tables": tables_page(node.tables),
             "/timeline": timeline_page(node.timeline),
             "/explain": explain_page(node.entry),
         }
@@ -357,6 +415,7 @@
         PortError: A port is taken; nothing is left listening.
     """
     jobs = {
+        "configuration": lambda: _follow_configuration(node),
         "membership": lambda: run_membership(node.membership),
         "targets": lambda: run_watch(node.watch),
     }
