--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -1,5 +1,6 @@
 """A small fleet as separate processes on loopback, for the demo, tests and bench."""
 
+import asyncio
 import http.client
 import json
 import os
@@ -13,6 +14,10 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
+from siskinlug.publishing import publish
+
+from siskinlug.log_client import open_log
+
 ROOT = Path(__file__).resolve().parent.parent
 TOKEN = "loopback-fleet-token"
 CALLER_PORT = 8080
@@ -287,6 +292,11 @@
 
             wait_until(in_force, f"{node.name} does not have the tables")
 
+    def put_tables(self, *, pools: str, routes: str) -> None:
+        """Publish both tables as versions 1 and wait until they are in force."""
+        asyncio.run(_publish_tables(self.log_url, pools=pools, routes=routes))
+        self.wait_versions(routes=1, pools=1)
+
     def stop(self) -> None:
         """Stop targets, then daemons, then the log, by their process ids."""
         order = sorted(
@@ -302,6 +312,16 @@
             process.kill()
 
 
+async def _publish_tables(log_url: str, *, pools: str, routes: str) -> None:
+    log = open_log(log_url)
+    for table, text in (("pools", pools), ("routes", routes)):
+        outcome = await publish(
+            log, table, text, change=f"first-{table}", base=0, operator="fleet"
+        )
+        if outcome.kind != "accepted":
+            raise RuntimeError(f"{table}: {outcome}")
+
+
 @contextmanager
 def open_fleet(folder: Path | None = None) -> Iterator[Fleet]:
     """Own a fleet and stop all of its processes at the end.
