--- a/siskinlug/attempts.py
+++ b/siskinlug/attempts.py
@@ -152,7 +152,8 @@
 
     Args:
         attempts: The records.
-        attempt: Id of the attempt, never used for another one.
+        attempt: Id of the attempt. An entry sends an id once; a second arrival is
+            recognised as long as the first one is recorded.
         on_cancel: Called at most once when the attempt is cancelled before it is
             finished, to wake the task that waits in the queue or for the target.
 
--- a/siskinlug/entry.py
+++ b/siskinlug/entry.py
@@ -474,9 +474,7 @@
     return Failure(refusal)
 
 
-async def _settle(
-    entry: Entry, node: NodeRecord, attempt: str, cause: str
-) -> Refusal:
+async def _settle(entry: Entry, node: NodeRecord, attempt: str, cause: str) -> Refusal:
     """Ask the owner, over a new connection, what became of a lost attempt."""
     if cause == "body_cut":
         return may_have_run(Reason.CANCELLED)
@@ -510,9 +508,7 @@
     except ValueError:
         return
     observe_service_time(entry.service_times, route, service_s)
-    recent = entry.recent_by_route.setdefault(
-        route, deque(maxlen=RECENT_SERVICE_TIMES)
-    )
+    recent = entry.recent_by_route.setdefault(route, deque(maxlen=RECENT_SERVICE_TIMES))
     recent.append(service_s)
 
 
--- a/siskinlug/peer_server.py
+++ b/siskinlug/peer_server.py
@@ -25,9 +25,9 @@
 
 def has_token(headers: HTTPHeaders, token: str) -> bool:
     """Whether the request carries the shared token; compared in constant time."""
-    given = headers.get(TOKEN_HEADER) or headers.get(
-        "Authorization", ""
-    ).removeprefix("Bearer ")
+    given = headers.get(TOKEN_HEADER) or headers.get("Authorization", "").removeprefix(
+        "Bearer "
+    )
     return hmac.compare_digest(given.encode(), token.encode())
 
 
