--- a/siskinlug/entry.py
+++ b/siskinlug/entry.py
@@ -2,7 +2,7 @@
 
 import secrets
 from collections import deque
-from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping, Sequence
 from contextlib import asynccontextmanager
 from statistics import median
 from typing import NamedTuple
@@ -10,9 +10,9 @@
 from returns.result import Failure, Result, Success
 from tornado.httputil import HTTPHeaders
 
-from siskinlug.account_rates import AccountRates, admit_account
+from siskinlug.account_rates import AccountRates, check_rate
 from siskinlug.body import BodyCut
-from siskinlug.choice import Candidate, Choose
+from siskinlug.choice import Candidate
 from siskinlug.connections import (
     IDLE_MAX_S,
     NON_IDEMPOTENT_IDLE_MAX_S,
@@ -66,7 +66,9 @@
     refusal: Refusal | None
 
 
-CancelAttempt = Callable[[NodeRecord, str], Awaitable[Verdict]]
+Choose = Callable[[Sequence[Candidate]], Candidate | None]
+# From the owner, the attempt and the time it was sent to what became of it.
+CancelAttempt = Callable[[NodeRecord, str, float], Awaitable[Verdict]]
 
 
 class Entry:
@@ -197,7 +199,7 @@
     if route is None:
         return Failure(not_run(Reason.NO_ROUTE, f"{head.method} {head.path}"))
     account = head.headers.get(route.account_header, "")
-    refusal = admit_account(entry.account_rates, route, account)
+    refusal = check_rate(entry.account_rates, route.name, account, route.account_rate)
     if refusal is not None:
         return Failure(refusal)
     # A small body is read whole first, so that a slow caller holds no slot.
@@ -415,7 +417,8 @@
         attempt_headers(entry, attempt, request.head.headers),
     )
     idle_s = IDLE_MAX_S if attempt.idempotent else NON_IDEMPOTENT_IDLE_MAX_S
-    left_s = request.deadline - entry.monotonic()
+    sent_at = entry.monotonic()
+    left_s = request.deadline - sent_at
     async with open_connection(
         entry.connections, (node.host, node.peer_port), max_idle_s=idle_s
     ) as connected:
@@ -430,7 +433,7 @@
                 return
             cause = result.failure().cause
     # The connection is closed by now; the owner may still hold the attempt.
-    yield Failure(await _settle(entry, node, attempt.attempt, cause))
+    yield Failure(await _settle(entry, node, attempt.attempt, sent_at, cause))
 
 
 def attempt_headers(
@@ -474,11 +477,13 @@
     return Failure(refusal)
 
 
-async def _settle(entry: Entry, node: NodeRecord, attempt: str, cause: str) -> Refusal:
+async def _settle(
+    entry: Entry, node: NodeRecord, attempt: str, sent_at: float, cause: str
+) -> Refusal:
     """Ask the owner, over a new connection, what became of a lost attempt."""
     if cause == "body_cut":
         return may_have_run(Reason.CANCELLED)
-    verdict = await entry.cancel_attempt(node, attempt)
+    verdict = await entry.cancel_attempt(node, attempt, sent_at)
     return Refusal(verdict, Reason.PEER_LOST, f"{node.node}: {cause}")
 
 
