--- a/siskinlug/log_client.py
+++ b/siskinlug/log_client.py
@@ -199,7 +199,7 @@
 async def _call(
     pool: ConnectionPool, address: Address, method: str, path: str, body: bytes
 ) -> _Answered | _NoAnswer:
-    """Make one call; a read on a stale connection is repeated on a new one."""
+    """Make one call on an idle connection or a new one."""
     max_idle_s = IDLE_MAX_S if method == "GET" else NON_IDEMPOTENT_IDLE_MAX_S
     headers = HTTPHeaders({"Host": f"{address[0]}:{address[1]}"})
     if body:
@@ -223,9 +223,6 @@
                     return _NoAnswer(True, "the answer was cut off")
                 return _Answered(answer.status, b"".join(chunks))
             failure = exchanged.failure()
-    if method == "GET" and connection.reused:
-        pool.drop_address(address)
-        return await _call(pool, address, method, path, body)
     return _NoAnswer(failure.written, f"connection lost: {failure.cause}")
 
 
