--- /dev/null
+++ b/tests/test_standins.py
@@ -0,0 +1,105 @@
+"""The stand-ins for targets and callers: they must notice what they are for."""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import msgspec
+import testtools
+from testtools.matchers import Equals
+
+from siskinlug.connections import Address, make_pool
+from standins.caller import Call, CallResult, Summary, run_closed_loop, send
+from standins.target import Faults, Target, TargetOptions, serve_target
+
+_OPTIONS = TargetOptions(name="t1", service="s", slots=2)
+
+
+def _with_target(
+    use: Callable[[Target, Address], Awaitable[Any]],
+    *,
+    crash: Callable[[], None] = lambda: None,
+) -> Any:
+    async def run() -> Any:
+        async with serve_target(_OPTIONS, crash=crash) as target:
+            return await use(target, ("127.0.0.1", target.port))
+
+    return asyncio.run(run())
+
+
+async def _calls(target: Target, address: Address, faults: Faults) -> Summary:
+    target.set_faults(faults)
+    return await run_closed_loop(
+        address,
+        lambda number: Call(method="POST", body=b"x" * number, answer_bytes=3000),
+        callers=2,
+        count=20,
+        timeout_s=5.0,
+    )
+
+
+class StandInsTest(testtools.TestCase):
+    def test_whole_answers_pass(self) -> None:
+        summary = _with_target(lambda t, a: _calls(t, a, Faults()))
+        self.assertThat(dict(summary.statuses), Equals({"200": 20}))
+        self.assertThat(summary.wrong_examples, Equals([]))
+
+    def test_mixed_up_and_cut_answers_are_noticed(self) -> None:
+        """Guards against a checker that passes what guarantee 2 forbids."""
+        summary = _with_target(lambda t, a: _calls(t, a, Faults(wrong_ratio=1.0)))
+        self.assertThat(summary.wrong, Equals(20))
+        summary = _with_target(lambda t, a: _calls(t, a, Faults(cut_ratio=1.0)))
+        self.assertThat(summary.reasons["cut"], Equals(20))
+
+    def test_faults_apply_to_some_accounts_only(self) -> None:
+        async def use(target: Target, address: Address) -> list[int]:
+            target.set_faults(Faults(error_ratio=1.0, accounts=["b"]))
+            pool = make_pool(monotonic=time.monotonic)
+            results = [
+                await send(pool, address, Call(account=account), f"r-{account}")
+                for account in ("a", "b")
+            ]
+            pool.close()
+            return [result.status for result in results]
+
+        self.assertThat(_with_target(use), Equals([200, 500]))
+
+    def test_full_slots_shed_and_a_closed_connection_cancels(self) -> None:
+        async def use(target: Target, address: Address) -> tuple[CallResult, int]:
+            target.set_faults(Faults(hang=True))
+            pool = make_pool(monotonic=time.monotonic)
+            hanging = [
+                asyncio.ensure_future(send(pool, address, Call(), f"h{n}"))
+                for n in range(2)
+            ]
+            while target.in_use < 2:
+                await asyncio.sleep(0.001)
+            shed = await send(pool, address, Call(), "shed")
+            for task in hanging:
+                task.cancel()
+            await asyncio.gather(*hanging, return_exceptions=True)
+            while target.in_use:
+                await asyncio.sleep(0.001)
+            pool.close()
+            assert "shed" not in target.runs.by_request
+            return shed, target.runs.counts["cancelled"]
+
+        shed, cancelled = _with_target(use)
+        self.assertThat((shed.status, shed.verdict), Equals((503, "not-run")))
+        self.assertThat(cancelled, Equals(2))
+
+    def test_runs_are_counted_and_a_marked_request_crashes(self) -> None:
+        crashes: list[int] = []
+
+        async def use(target: Target, address: Address) -> dict[str, Any]:
+            pool = make_pool(monotonic=time.monotonic)
+            keyed = Call(headers=(("X-Crash", "1"), ("Idempotency-Key", "k")))
+            await send(pool, address, keyed, "r1")
+            await send(pool, address, keyed, "r1")
+            pool.close()
+            return msgspec.to_builtins(target.runs.by_request | target.runs.by_key)
+
+        runs = _with_target(use, crash=lambda: crashes.append(1))
+        self.assertThat(runs, Equals({"r1": 2, "k": 2}))
+        self.assertThat(len(crashes), Equals(2))
