Add membership: heartbeats, indirect checks, pushes and syncs

Changes travel as marks (45 bytes) where the receiver can hold the content already, and as whole records otherwise. Digests leave out dead records, so that nodes which forget them at different times do not hand them back.

Directory: digests are kept incrementally and by bucket. A record of the own name with a higher incarnation was unanswerable, because only the version was raised; it is now passed by incarnation, or, if a live process at another address made it, reported as a replacement.

--- /dev/null
+++ b/bench/fake_peers.py
@@ -0,0 +1,248 @@
+"""A network of members in one process, which loses messages in one direction."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable, Sequence
+from random import Random
+from typing import Any, NamedTuple
+
+from returns.result import Failure, Result, Success
+
+from siskinlug.clock import HybridClock
+from siskinlug.connections import Address
+from siskinlug.directory import NodeRecord, TargetRecord
+from siskinlug.membership import (
+    Membership,
+    Payload,
+    make_handlers,
+    make_membership,
+    run_membership,
+)
+from siskinlug.messages import decode, encode
+from siskinlug.peer_client import PeerFailure, Traffic
+from siskinlug.timeline import Timeline
+
+ONE_WAY_S = 0.0015
+# Heads as call_peer and tornado's HTTPServer write them, without the path.
+REQUEST_HEAD_BYTES = 155
+ANSWER_HEAD_BYTES = 190
+# TCP and IP headers of a call over its own connection: 11 segments of 52 bytes. At
+# 430 nodes nearly every call opens one, since a kept connection lasts 30 s.
+TCP_BYTES = 572
+# Kind under which these are counted, apart from the bytes of HTTP.
+TCP_KIND = "tcp"
+
+
+class FakeNode(NamedTuple):
+    """A running member."""
+
+    membership: Membership
+    traffic: Traffic
+    task: asyncio.Task[None]
+
+
+class FakeNetwork:
+    """Carries messages between members and counts their bytes.
+
+    Attributes:
+        cut: Whether a message from one node to another is lost.
+        paused: Event by node, set when the pause of the node ends.
+    """
+
+    def __init__(self, *, random: Random) -> None:
+        self.random = random
+        self.node_by_name: dict[str, FakeNode] = {}
+        self.name_by_address: dict[Address, str] = {}
+        self.cut: Callable[[str, str], bool] = lambda sender, receiver: False
+        self.paused: dict[str, asyncio.Event] = {}
+        self.calls: Counter[str] = Counter()
+
+    async def _resumed(self, name: str) -> None:
+        while name in self.paused:
+            await self.paused[name].wait()
+
+    async def sleep(self, name: str, seconds: float) -> None:
+        """Sleep as a node does, which is longer if its process is paused."""
+        await asyncio.sleep(seconds)
+        await self._resumed(name)
+
+    async def call(
+        self,
+        sender: str,
+        address: Address,
+        path: str,
+        message: Any,
+        answer_type: Any,
+        *,
+        timeout_s: float,
+        fresh: bool = False,
+    ) -> Result[Any, PeerFailure]:
+        """Carry a message and its answer, as ``call_peer`` does."""
+        await self._resumed(sender)
+        self.calls[path] += 1
+        try:
+            async with asyncio.timeout(timeout_s):
+                answer = await self._carry(sender, address, path, encode(message))
+        except TimeoutError:
+            answer = None
+        await self._resumed(sender)
+        if answer is None:
+            return Failure(PeerFailure(address, "timeout", True))
+        return Success(decode(answer, answer_type))
+
+    async def _carry(
+        self, sender: str, address: Address, path: str, body: bytes
+    ) -> bytes:
+        receiver = self.name_by_address.get(address, "")
+        self._count(sender, path, sent=REQUEST_HEAD_BYTES + len(path) + len(body))
+        await asyncio.sleep(ONE_WAY_S)
+        node = self.node_by_name.get(receiver)
+        if node is None or self.cut(sender, receiver):
+            await asyncio.Event().wait()
+        assert node is not None
+        await self._resumed(receiver)
+        size = REQUEST_HEAD_BYTES + len(path) + len(body)
+        self._count(receiver, path, received=size)
+        handler = make_handlers(node.membership)[path]
+        answer = encode(await handler.handle(decode(body, handler.message_type)))
+        size = ANSWER_HEAD_BYTES + len(answer)
+        self._count(receiver, path, sent=size)
+        await asyncio.sleep(ONE_WAY_S)
+        if self.cut(receiver, sender) or self.node_by_name.get(receiver) is not node:
+            await asyncio.Event().wait()
+        self._count(sender, path, received=size)
+        for name in (sender, receiver):
+            self._count(name, TCP_KIND, sent=TCP_BYTES // 2, received=TCP_BYTES // 2)
+        return answer
+
+    def _count(self, name: str, kind: str, *, sent: int = 0, received: int = 0) -> None:
+        node = self.node_by_name.get(name)
+        if node is not None:
+            node.traffic.count(kind, sent=sent, received=received)
+
+    def total_bytes(self) -> Counter[str]:
+        """Return the bytes sent and received by all running nodes, by kind."""
+        total: Counter[str] = Counter()
+        for node in self.node_by_name.values():
+            total += node.traffic.sent_by_kind + node.traffic.received_by_kind
+        return total
+
+    def start(
+        self,
+        own: NodeRecord,
+        *,
+        seeds: Sequence[Address] = (),
+        payloads: Sequence[Payload] = (),
+        **options: Any,
+    ) -> Membership:
+        """Start a member and return it."""
+        name = own.node
+        loop = asyncio.get_running_loop()
+
+        async def call(*args: Any, **named: Any) -> Result[Any, PeerFailure]:
+            return await self.call(name, *args, **named)
+
+        async def sleep(seconds: float) -> None:
+            await self.sleep(name, seconds)
+
+        clock = HybridClock(wall_ms=lambda: 1_700_000_000_000 + int(loop.time() * 1000))
+        membership = make_membership(
+            own,
+            call=call,
+            timeline=Timeline(name, clock),
+            monotonic=loop.time,
+            random=Random(self.random.random()),
+            sleep=sleep,
+            seeds=seeds,
+            payloads=payloads,
+            **options,
+        )
+        task = asyncio.create_task(run_membership(membership))
+        self.node_by_name[name] = FakeNode(membership, Traffic(), task)
+        self.name_by_address[own.host, own.peer_port] = name
+        return membership
+
+    async def kill(self, name: str) -> None:
+        """End a member without notice."""
+        node = self.node_by_name.pop(name)
+        node.task.cancel()
+        await asyncio.wait([node.task])
+        if not node.task.cancelled():
+            node.task.result()
+
+    async def stop(self) -> None:
+        """End all members; an error in one is raised here."""
+        for name in list(self.node_by_name):
+            await self.kill(name)
+
+    def pause(self, name: str) -> None:
+        """Stop a process without ending it."""
+        self.paused[name] = asyncio.Event()
+
+    def resume(self, name: str) -> None:
+        """Let a paused process go on."""
+        self.paused.pop(name).set()
+
+    def states_of(self, subject: str) -> Counter[str]:
+        """Count the states that the other running nodes hold of a node."""
+        states: Counter[str] = Counter()
+        for name, node in self.node_by_name.items():
+            if name != subject:
+                held = node.membership.directory.record_by_node.get(subject)
+                states["unknown" if held is None else held.state] += 1
+        return states
+
+    def converged(self) -> bool:
+        """Whether all running nodes hold the same directory of all running nodes."""
+        nodes = [node.membership for node in self.node_by_name.values()]
+        return (
+            all(len(m.others()) == len(nodes) - 1 for m in nodes)
+            and len({m.directory.digest() for m in nodes}) == 1
+        )
+
+
+def make_record(
+    number: int, *, domains: int = 5, targets: int = 0, incarnation: int = 1
+) -> NodeRecord:
+    """Return the record of a node as it starts, with ids of realistic length."""
+    domain = number % domains
+    # The addresses must differ; they are never opened.
+    host = f"10.{domain}.{number // 250}.{number % 250}"
+    return NodeRecord(
+        node=f"node-{number:04d}",
+        incarnation=1_700_000_000_000 + incarnation,
+        version=1,
+        state="alive",
+        vm=f"vm-{number:04d}",
+        failure_domain=f"domain-{domain}",
+        region="region-a" if domain < (domains + 1) // 2 else "region-b",
+        host=host,
+        peer_port=7001,
+        admin_port=7002,
+        targets=tuple(
+            TargetRecord(
+                target=f"service-{(number * 8 + index) % 81:02d}-{number:04d}-{index}",
+                service=f"service-{(number * 8 + index) % 81:02d}",
+                slots=6,
+                incarnation=1_700_000_000_000 + number,
+                epoch=1,
+                state="ready",
+            )
+            for index in range(targets)
+        ),
+    )
+
+
+async def wait_until(condition: Callable[[], bool], *, limit_s: float) -> float | None:
+    """Wait in virtual time until a condition holds.
+
+    Returns:
+        Seconds waited, or None if the limit passed first.
+    """
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    while not condition():
+        if loop.time() - started >= limit_s:
+            return None
+        await asyncio.sleep(0.05)
+    return loop.time() - started
--- a/siskinlug/directory.py
+++ b/siskinlug/directory.py
@@ -1,11 +1,16 @@
 """Directory: node records and the targets that each node owns."""
 
-from collections.abc import Iterator
+import enum
+from collections.abc import Iterator, Mapping
 from typing import NamedTuple
 
+import msgspec
 import xxhash
 
-_STATE_RANK = {"alive": 0, "leaving": 1, "dead": 2}
+STATES = ("alive", "leaving", "dead")
+_STATE_RANK = {state: rank for rank, state in enumerate(STATES)}
+# At 430 nodes a bucket holds about 13 records, whose marks take about 600 bytes.
+BUCKETS = 32
 
 
 class TargetRecord(NamedTuple):
@@ -49,58 +54,197 @@
     targets: tuple[TargetRecord, ...] = ()
 
 
+class Mark(NamedTuple):
+    """A record without its content, about 45 bytes as JSON instead of 600.
+
+    Attributes:
+        node: Node id.
+        incarnation: As in the record.
+        version: As in the record.
+        rank: Index of the state in ``STATES``.
+        content: Digest of the content. A receiver that holds the same content can
+            take the mark in place of the record.
+    """
+
+    node: str
+    incarnation: int
+    version: int
+    rank: int
+    content: int
+
+
+class Merge(enum.Enum):
+    """What a mark did to a directory."""
+
+    UNCHANGED = "unchanged"
+    CHANGED = "changed"
+    WANTED = "wanted"  # newer, but the whole record is needed
+
+
 def record_order(record: NodeRecord) -> tuple[int, int, int]:
     """Return the sort key that decides which of two records is newer."""
     return record.incarnation, record.version, _STATE_RANK[record.state]
 
 
+def mark_order(mark: Mark) -> tuple[int, int, int]:
+    """Return the sort key of the record that a mark stands for."""
+    return mark.incarnation, mark.version, mark.rank
+
+
+def mark_of(record: NodeRecord) -> Mark:
+    """Return the mark of a record."""
+    content = (
+        record.vm,
+        record.failure_domain,
+        record.region,
+        record.host,
+        record.peer_port,
+        record.admin_port,
+        record.targets,
+    )
+    digest = xxhash.xxh32_intdigest(msgspec.json.encode(content))
+    return Mark(
+        record.node,
+        record.incarnation,
+        record.version,
+        _STATE_RANK[record.state],
+        digest,
+    )
+
+
+def bucket_of(node: str) -> int:
+    """Return the digest bucket of a node."""
+    return xxhash.xxh32_intdigest(node.encode()) % BUCKETS
+
+
 class Directory:
-    """Newest record of each known node."""
+    """Newest record of each known node.
+
+    ``revision`` rises with every change, so that what is derived from the records
+    can be kept until then.
+    """
 
     def __init__(self, own: NodeRecord) -> None:
         self.own_node = own.node
-        self.record_by_node: dict[str, NodeRecord] = {own.node: own}
+        self.revision = 0
+        self._record_by_node: dict[str, NodeRecord] = {}
+        self._bucket_digests = [0] * BUCKETS
+        self.put(own)
+
+    @property
+    def record_by_node(self) -> Mapping[str, NodeRecord]:
+        """The records, to be changed only through ``put`` and ``remove``."""
+        return self._record_by_node
 
     @property
     def own(self) -> NodeRecord:
         """The record of this node."""
-        return self.record_by_node[self.own_node]
+        return self._record_by_node[self.own_node]
+
+    def put(self, record: NodeRecord) -> None:
+        """Store a record in place of the one held."""
+        self.remove(record.node)
+        self._record_by_node[record.node] = record
+        self._toggle(record)
+
+    def remove(self, node: str) -> None:
+        """Forget a node."""
+        held = self._record_by_node.pop(node, None)
+        if held is not None:
+            self._toggle(held)
+        self.revision += 1
 
     def alive(self) -> Iterator[NodeRecord]:
         """Yield the records of nodes that are not dead."""
-        return (r for r in self.record_by_node.values() if r.state != "dead")
+        return (r for r in self._record_by_node.values() if r.state != "dead")
 
     def digest(self) -> str:
-        """Return a digest of nodes and their record order."""
-        state = xxhash.xxh64()
-        for node in sorted(self.record_by_node):
-            order = record_order(self.record_by_node[node])
-            state.update(f"{node}{order}".encode())
-        return str(state.hexdigest())
+        """Return a digest of the nodes that are not dead and their record order."""
+        total = 0
+        for digest in self._bucket_digests:
+            total ^= digest
+        return f"{total:016x}"
+
+    def bucket_digests(self) -> list[int]:
+        """Return 32 bits of digest for each bucket of nodes."""
+        return [digest & 0xFFFFFFFF for digest in self._bucket_digests]
+
+    def _toggle(self, record: NodeRecord) -> None:
+        # Dead records are left out: nodes forget them at different times, and a
+        # difference would bring them back from nodes that still hold them.
+        if record.state != "dead":
+            text = f"{record.node} {record_order(record)}".encode()
+            digest = xxhash.xxh3_64_intdigest(text)
+            self._bucket_digests[bucket_of(record.node)] ^= digest
 
 
 def merge_record(directory: Directory, record: NodeRecord) -> bool:
     """Take a record if it is newer than the one held.
 
-    A record that declares this node itself dead or leaving is answered by raising
-    the own version past it.
+    A newer record of this node itself was made by others, or by an earlier process
+    of the same name on a VM whose clock was ahead. It is answered by raising the own
+    version, or the incarnation, past it. A live process of a higher incarnation at
+    another address has replaced this one and is not answered.
 
     Returns:
         Whether the directory changed.
     """
+    if record.state not in _STATE_RANK:
+        return False
     held = directory.record_by_node.get(record.node)
     if held is not None and record_order(record) <= record_order(held):
         return False
-    if record.node == directory.own_node:
-        own = directory.own
-        if record.incarnation < own.incarnation:
-            return False
-        directory.record_by_node[own.node] = own._replace(version=record.version + 1)
+    if record.node != directory.own_node:
+        directory.put(record)
+        return True
+    own = directory.own
+    if record.incarnation == own.incarnation:
+        directory.put(own._replace(version=record.version + 1))
         return True
-    directory.record_by_node[record.node] = record
+    if is_replacement(directory, record):
+        return False
+    # Not the same incarnation: an attempt sent to the earlier process must not be
+    # taken for one of this process.
+    directory.put(own._replace(incarnation=record.incarnation + 1, version=1))
     return True
 
 
+def is_replacement(directory: Directory, record: NodeRecord) -> bool:
+    """Whether a record is of a newer live process under the name of this node."""
+    own = directory.own
+    return (
+        record.node == own.node
+        and record.incarnation > own.incarnation
+        and record.state != "dead"
+        and (record.host, record.peer_port) != (own.host, own.peer_port)
+    )
+
+
+def merge_mark(directory: Directory, mark: Mark) -> Merge:
+    """Take a mark if it is newer and the content it stands for is held.
+
+    A dead mark needs no content, and means nothing for an unknown node.
+    """
+    held = directory.record_by_node.get(mark.node)
+    if not 0 <= mark.rank < len(STATES):
+        return Merge.UNCHANGED
+    state = STATES[mark.rank]
+    if held is None:
+        return Merge.UNCHANGED if state == "dead" else Merge.WANTED
+    if mark_order(mark) <= record_order(held):
+        return Merge.UNCHANGED
+    if state != "dead" and mark_of(held).content != mark.content:
+        # Another record of this node and incarnation needs no content to be answered.
+        own = mark.node == directory.own_node
+        if not own or mark.incarnation != held.incarnation:
+            return Merge.WANTED
+    merge_record(
+        directory,
+        held._replace(incarnation=mark.incarnation, version=mark.version, state=state),
+    )
+    return Merge.CHANGED
+
+
 def update_own(
     directory: Directory,
     *,
@@ -119,5 +263,5 @@
     )
     if changed == own:
         return False
-    directory.record_by_node[own.node] = changed._replace(version=own.version + 1)
+    directory.put(changed._replace(version=own.version + 1))
     return True
--- a/siskinlug/messages.py
+++ b/siskinlug/messages.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from siskinlug.directory import NodeRecord
+from siskinlug.directory import Mark, NodeRecord
 
 MessageT = TypeVar("MessageT")
 
@@ -43,26 +43,81 @@
     pools_version: int
 
 
-class Ping(TypedDict):
-    """Heartbeat, with changed records and what is needed to notice a gap."""
+class Gossip(msgspec.Struct, array_like=True, frozen=True):
+    """Heartbeat, its answer, and urgent push (``/peer/ping``, ``/peer/push``).
 
-    node: str
+    Attributes:
+        own: Mark of the sender's own record.
+        at: Hybrid time of the sender.
+        digest: Of the sender's directory; empty in a push.
+        marks: Changed records whose content the receiver probably holds.
+        records: Changed records.
+        payloads: Values of other modules, by name.
+    """
+
+    own: Mark
     at: tuple[int, int]
-    digest: str
-    position: Position
-    records: list[NodeRecord]
-    suspicions: NotRequired[list[Any]]
+    digest: str = ""
+    marks: list[Mark] = []
+    records: list[NodeRecord] = []
+    payloads: dict[str, msgspec.Raw] = {}
+
+
+class PushAnswer(msgspec.Struct, array_like=True, frozen=True):
+    """Receipt of a push, with the mark of the node that received it."""
+
+    own: Mark
 
 
-class PingAnswer(TypedDict):
-    """Answer to a heartbeat, of the same shape as the heartbeat."""
+class PingThrough(msgspec.Struct, array_like=True, frozen=True):
+    """Ask a helper to ping a node (``POST /peer/ping-through``)."""
 
     node: str
-    at: tuple[int, int]
-    digest: str
-    position: Position
-    records: list[NodeRecord]
-    suspicions: NotRequired[list[Any]]
+    host: str
+    port: int
+
+
+class PingThroughAnswer(msgspec.Struct, array_like=True, frozen=True):
+    """Whether the node answered the helper."""
+
+    reached: bool
+
+
+class SyncRequest(msgspec.Struct, array_like=True, frozen=True):
+    """One of two steps of an exchange of directories (``POST /peer/sync``).
+
+    The first step sends the digest of each bucket of nodes. The second sends what
+    the sender holds newer and names the records it wants.
+
+    Attributes:
+        sender: Node id.
+        digests: 32 bits for each bucket, or empty in the second step.
+        want: Nodes whose records are wanted; ``*`` stands for all.
+        marks: Newer records whose content the receiver holds.
+        records: Newer records.
+    """
+
+    sender: str
+    digests: list[int] = []
+    want: list[str] = []
+    marks: list[Mark] = []
+    records: list[NodeRecord] = []
+
+
+class SyncAnswer(msgspec.Struct, array_like=True, frozen=True):
+    """Answer to either step of a sync.
+
+    Attributes:
+        node: The node that answers.
+        buckets: Buckets that differ.
+        marks: Marks of all records in these buckets.
+        records: The records that were wanted.
+    """
+
+    node: str
+    buckets: list[int] = []
+    marks: list[Mark] = []
+    records: list[NodeRecord] = []
 
 
 class CancelRequest(TypedDict):
--- /dev/null
+++ b/tests/test_directory.py
@@ -0,0 +1,116 @@
+"""Merging of node records and marks."""
+
+import testtools
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools.matchers import Equals
+
+from siskinlug.directory import (
+    STATES,
+    Directory,
+    Mark,
+    Merge,
+    NodeRecord,
+    mark_of,
+    merge_mark,
+    merge_record,
+    record_order,
+)
+
+
+def _record(
+    node: str, incarnation: int = 1, version: int = 1, state: str = "alive"
+) -> NodeRecord:
+    # Content changes with some versions only, so that marks often match.
+    vm = f"vm-{incarnation}-{version // 3}"
+    return NodeRecord(
+        node, incarnation, version, state, vm, "domain", "region", "10.0.0.1", 1, 2
+    )
+
+
+RECORDS = st.lists(
+    st.builds(
+        _record,
+        st.sampled_from(["a", "b", "self"]),
+        st.integers(1, 3),
+        st.integers(1, 7),
+        st.sampled_from(STATES),
+    ),
+    max_size=12,
+)
+
+
+class DirectoryTest(testtools.TestCase):
+    @given(RECORDS, st.randoms(use_true_random=False))
+    def test_merging_does_not_depend_on_the_order(self, records, random) -> None:
+        """Guards against two nodes that heard the same and differ for ever."""
+        one, other = Directory(_record("self")), Directory(_record("self"))
+        for record in records:
+            merge_record(one, record)
+        shuffled = records * 2
+        random.shuffle(shuffled)
+        for record in shuffled:
+            merge_record(other, record)
+        for node in ("a", "b"):
+            self.assertEqual(
+                one.record_by_node.get(node), other.record_by_node.get(node)
+            )
+        own = [r for r in records if r.node == "self" and r.state != "alive"]
+        for directory in (one, other):
+            self.assertThat(directory.own.state, Equals("alive"))
+            for record in own:
+                self.assertTrue(record_order(directory.own) > record_order(record))
+
+    @given(RECORDS, st.randoms(use_true_random=False))
+    def test_a_mark_never_puts_a_version_on_other_content(
+        self, records, random
+    ) -> None:
+        """Guards against targets of an old version shown under a newer one."""
+        directory = Directory(_record("self"))
+        for record in records:
+            if random.random() < 0.5:
+                merge_record(directory, record)
+            else:
+                merge_mark(directory, mark_of(record))
+        for held in directory.record_by_node.values():
+            if held.state != "dead" and held.node != "self":
+                published = _record(held.node, held.incarnation, held.version)
+                self.assertThat(held.vm, Equals(published.vm))
+
+    @given(RECORDS)
+    def test_the_digest_is_of_the_live_records(self, records) -> None:
+        """Guards against dead nodes that syncs hand round after they are dropped."""
+        one, other = Directory(_record("self")), Directory(_record("self"))
+        for record in records:
+            merge_record(one, record)
+        for record in one.record_by_node.values():
+            if record.state != "dead":
+                other.put(record)
+        self.assertThat(one.digest(), Equals(other.digest()))
+        self.assertThat(one.bucket_digests(), Equals(other.bucket_digests()))
+
+    def test_a_dead_mark_of_an_unknown_node_is_ignored(self) -> None:
+        """Guards against a forgotten node that comes back as dead."""
+        directory = Directory(_record("self"))
+        self.assertThat(
+            merge_mark(directory, Mark("a", 1, 1, 2, 0)), Equals(Merge.UNCHANGED)
+        )
+
+    def test_a_record_of_an_earlier_process_is_passed(self) -> None:
+        """Guards against a node that cannot return after its clock went back.
+
+        The incarnation must also differ from that of the earlier process, whose
+        attempts must not be taken for attempts of this one.
+        """
+        directory = Directory(_record("self"))
+        merge_record(directory, _record("self", 9, 4))
+        self.assertThat(directory.own.incarnation, Equals(10))
+
+    def test_a_process_that_was_replaced_does_not_answer(self) -> None:
+        """Guards against two processes of one name that outbid each other."""
+        directory = Directory(_record("self"))
+        newer = _record("self", 9, 4)._replace(host="10.0.0.2")
+        self.assertFalse(merge_record(directory, newer))
+        self.assertThat(directory.own.incarnation, Equals(1))
+        merge_record(directory, newer._replace(state="dead"))
+        self.assertThat(directory.own.incarnation, Equals(10))
