Test ejection in virtual time with a faulty promise network

Owners run the daemon's code over links that lose, delay and double messages and fail in one direction, with pauses past a lease and changes of owner. A reference model that knows nothing of promises checks the floor every 50 ms.

--- /dev/null
+++ b/bench/promise_network.py
@@ -0,0 +1,219 @@
+"""A fleet of owners in virtual time that exchange stay-in promises.
+
+Messages are lost, delayed and doubled, links fail in one direction, and processes
+pause. The code that runs is the daemon's own.
+"""
+
+import asyncio
+import random as random_module
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from siskinlug.ejection import (
+    Ejection,
+    PeerTarget,
+    PoolView,
+    TargetStatus,
+    admits,
+    answer_promises,
+    make_ejection,
+    run_ejection,
+)
+from siskinlug.evidence import Outcome, make_evidence, observe
+from siskinlug.promises import PromiseAnswer, PromiseRequest
+
+CALL_TIMEOUT_S = 0.5
+POOL = "catalogue"
+ROUTES = ("browse", "book")
+
+
+class PromiseNetwork:
+    """Links between owners, with their faults."""
+
+    def __init__(self, random: random_module.Random) -> None:
+        self.random = random
+        self.handler_by_node: dict[str, Callable[[PromiseRequest], PromiseAnswer]] = {}
+        self.delay_s = 0.002
+        self.answer_delay_by_node: dict[str, float] = {}
+        self.call_timeout_s = CALL_TIMEOUT_S
+        self.loss = 0.0
+        self.doubled = 0.0
+        self.cut: set[tuple[str, str]] = set()
+        self.paused_until: dict[str, float] = {}
+        self.messages = 0
+        self._late: set[asyncio.Future] = set()
+
+    def now(self) -> float:
+        """Return the virtual time in seconds."""
+        return asyncio.get_running_loop().time()
+
+    async def sleep(self, node: str, seconds: float) -> None:
+        """Sleep as a process that may be paused meanwhile."""
+        await asyncio.sleep(seconds)
+        await self._while_paused(node)
+
+    async def call(
+        self, sender: str, receiver: str, request: PromiseRequest
+    ) -> PromiseAnswer | None:
+        """Send a request; the answer is ``None`` after a loss or the time limit."""
+        self.messages += 1
+        if self.random.random() < self.doubled:
+            self._keep(self._deliver(sender, receiver, request, extra_s=2.0))
+        delivery = self._keep(self._deliver(sender, receiver, request))
+        done, _ = await asyncio.wait({delivery}, timeout=self.call_timeout_s)
+        await self._while_paused(sender)
+        return delivery.result() if done else None
+
+    async def _deliver(
+        self,
+        sender: str,
+        receiver: str,
+        request: PromiseRequest,
+        *,
+        extra_s: float = 0.0,
+    ) -> PromiseAnswer | None:
+        await self._travel(sender, receiver, extra_s)
+        await self._while_paused(receiver)
+        answer = self.handler_by_node[receiver](request)
+        await asyncio.sleep(self.answer_delay_by_node.get(sender, 0.0))
+        await self._travel(receiver, sender, 0.0)
+        return answer
+
+    async def _travel(self, sender: str, receiver: str, extra_s: float) -> None:
+        if sender == receiver:
+            return
+        delay_s = self.random.expovariate(1.0) * self.delay_s
+        await asyncio.sleep(delay_s + self.random.random() * extra_s)
+        if (sender, receiver) in self.cut or self.random.random() < self.loss:
+            await asyncio.Event().wait()
+
+    async def _while_paused(self, node: str) -> None:
+        while (left := self.paused_until.get(node, 0.0) - self.now()) > 0:
+            await asyncio.sleep(left)
+
+    def _keep(
+        self, coroutine: Coroutine[Any, Any, PromiseAnswer | None]
+    ) -> asyncio.Future:
+        task = asyncio.ensure_future(coroutine)
+        self._late.add(task)
+        task.add_done_callback(self._late.discard)
+        return task
+
+
+class OwnedTarget:
+    """One target and its owner; the target's faults are set by the test."""
+
+    def __init__(self, number: int, slots: int) -> None:
+        self.target = f"t{number}"
+        self.node = f"n{number}"
+        self.slots = slots
+        self.ready = True
+        self.error_ratio_by_route = dict.fromkeys(ROUTES, 0.0)
+        self.hard = False
+        self.slow = 1.0
+        self.ejection: Ejection
+        self.running: asyncio.Future
+        self.events: list[tuple[float, str, str]] = []
+
+    def sicken(self, error_ratio: float, *, hard: bool = False) -> None:
+        """Fail a part of the requests of every route."""
+        self.error_ratio_by_route = dict.fromkeys(ROUTES, error_ratio)
+        self.hard = hard
+
+    def heal(self) -> None:
+        """Serve every request well."""
+        self.sicken(0.0)
+        self.slow = 1.0
+
+
+class PromiseFleet:
+    """Owners of the targets of one pool, one each."""
+
+    def __init__(
+        self, *, targets: int, slots: int, floor_slots: int, seed: int
+    ) -> None:
+        self.random = random_module.Random(seed)
+        self.network = PromiseNetwork(self.random)
+        self.floor_slots = floor_slots
+        self.targets = [OwnedTarget(number, slots) for number in range(targets)]
+        self.usual_s = 0.02
+        self.baseline_s: float | None = 0.02
+
+    def start(self) -> None:
+        """Start every owner as one that has owned its target for long."""
+        for owned in self.targets:
+            self.adopt(owned)
+            owned.ejection.adopted = -1e9
+
+    def adopt(self, owned: OwnedTarget) -> None:
+        """Give the target a new owner, which knows nothing of the earlier one."""
+        if hasattr(owned, "running"):
+            owned.running.cancel()
+        now, network = self.network.now, self.network
+        ejection = make_ejection(
+            target=owned.target,
+            node=owned.node,
+            evidence=make_evidence(monotonic=now),
+            status=lambda: TargetStatus(owned.ready, {POOL: owned.slots}),
+            monotonic=now,
+            random=self.random,
+        )
+        owned.ejection = ejection
+        network.handler_by_node[owned.node] = lambda request: answer_promises(
+            {owned.target: ejection}, request
+        )
+
+        async def probe() -> bool:
+            await network.sleep(owned.node, 0.025)
+            return not owned.hard
+
+        owned.running = asyncio.ensure_future(
+            run_ejection(
+                ejection,
+                pools=lambda: [self._view(owned)],
+                call_peer=lambda node, request: network.call(owned.node, node, request),
+                probe=probe,
+                note=lambda kind, detail: owned.events.append((now(), kind, detail)),
+                on_change=lambda: None,
+                sleep=lambda seconds: network.sleep(owned.node, seconds),
+            )
+        )
+
+    async def serve(self, seconds: float, each: Callable[[], None]) -> None:
+        """Send 10 requests/s to each target and call ``each`` every 50 ms."""
+        end = self.network.now() + seconds
+        step = 0
+        while self.network.now() < end:
+            await asyncio.sleep(0.05)
+            step += 1
+            for owned in self.targets if step % 2 else ():
+                self.request(owned, ROUTES[(step // 2) % len(ROUTES)])
+            for owned in self.targets:
+                if owned.running.done():
+                    owned.running.result()
+            each()
+
+    def request(self, owned: OwnedTarget, route: str) -> None:
+        """Send one request; a paused owner serves nothing."""
+        paused = self.network.paused_until.get(owned.node, 0.0) > self.network.now()
+        if paused or not owned.ready or not admits(owned.ejection, route):
+            return
+        ok = self.random.random() >= owned.error_ratio_by_route[route]
+        service_s = self.usual_s * owned.slow * self.random.lognormvariate(0.0, 0.3)
+        outcome = Outcome(route, ok, owned.hard and not ok, service_s, self.baseline_s)
+        observe(owned.ejection.evidence, outcome)
+
+    async def stop(self) -> None:
+        """Stop all owners."""
+        running = [owned.running for owned in self.targets]
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
+
+    def _view(self, owned: OwnedTarget) -> PoolView:
+        peers = [
+            PeerTarget(other.target, other.node, other.slots)
+            for other in self.targets
+            if other is not owned
+        ]
+        return PoolView(POOL, self.floor_slots, frozenset(ROUTES), peers)
--- /dev/null
+++ b/tests/test_ejection.py
@@ -0,0 +1,401 @@
+"""Ejection with stay-in promises, in virtual time with a faulty network."""
+
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import testtools
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools.matchers import Contains, Equals, GreaterThan, LessThan, Not
+
+from bench.promise_network import POOL, ROUTES, OwnedTarget, PromiseFleet
+from bench.virtual_time import run_virtual
+from siskinlug.ejection import (
+    RENEWING_GIVER_SCORE_MAX,
+    answer_promises,
+    ejected_scopes,
+)
+from siskinlug.evidence import HEALTHY, Outcome, Sickness, forget, judge, observe
+from siskinlug.promises import (
+    PROMISE_LEASE_S,
+    PromiseRequest,
+    Promises,
+    forbids,
+    give,
+    release,
+)
+
+Script = Callable[[PromiseFleet], Coroutine[Any, Any, None]]
+
+
+class _Capacity:
+    """Reference model: who is out, and who was healthy within a lease.
+
+    It knows nothing of promises. A target counts for a route if its owner takes
+    every attempt and its evidence was good at some time in the last lease, since a
+    target that falls ill after its owner promised is no one's ejection.
+    """
+
+    def __init__(self, fleet: PromiseFleet) -> None:
+        self.fleet = fleet
+        self.well_at: dict[tuple[str, str], float] = {}
+        self.ejections = 0
+
+    def check(self) -> None:
+        now = self.fleet.network.now()
+        for route in ROUTES:
+            out = [t for t in self.fleet.targets if self._is_out(t, route, now)]
+            capacity = sum(
+                owned.slots
+                for owned in self.fleet.targets
+                if owned not in out and self._was_well(owned, route, now)
+            )
+            self.ejections += len(out)
+            if out and capacity < self.fleet.floor_slots:
+                raise AssertionError(f"{capacity} slots left on {route} at {now:.2f}")
+
+    def _is_out(self, owned: OwnedTarget, route: str, now: float) -> bool:
+        outs = owned.ejection.out_by_scope
+        return any(s in outs and outs[s].in_force(now) for s in ("*", route))
+
+    def _was_well(self, owned: OwnedTarget, route: str, now: float) -> bool:
+        sickness_by_route = judge(owned.ejection.evidence)
+        worst = max(sickness_by_route.get(s, HEALTHY).score for s in ("*", route))
+        key = (owned.target, route)
+        if owned.ready and worst <= RENEWING_GIVER_SCORE_MAX:
+            self.well_at[key] = now
+        return now - self.well_at.get(key, -1e9) <= PROMISE_LEASE_S + 0.1
+
+
+def _run(script: Script, *, seed: int = 1, **sizes: int) -> PromiseFleet:
+    """Run a script against a fleet and check the floor at every step."""
+    sizes = {"targets": 4, "slots": 4, "floor_slots": 8} | sizes
+
+    async def main() -> PromiseFleet:
+        fleet = PromiseFleet(seed=seed, **sizes)
+        fleet.start()
+        capacity = _Capacity(fleet)
+        fleet.check = capacity.check  # type: ignore[attr-defined]
+        try:
+            await script(fleet)
+        finally:
+            await fleet.stop()
+        return fleet
+
+    return run_virtual(main())
+
+
+async def _serve(fleet: PromiseFleet, seconds: float) -> None:
+    await fleet.serve(seconds, fleet.check)  # type: ignore[attr-defined]
+
+
+def _promise_request(
+    scope: str, number: int, sickness: Sickness = HEALTHY
+) -> PromiseRequest:
+    return PromiseRequest(
+        holder="t9",
+        holder_node="n9",
+        pool=POOL,
+        scope=scope,
+        number=number,
+        targets=["t0"],
+        sickness=sickness,
+        release=False,
+    )
+
+
+def _fail(owned: OwnedTarget, requests: int = 4) -> None:
+    for number in range(requests):
+        route = ROUTES[number % len(ROUTES)]
+        observe(owned.ejection.evidence, Outcome(route, False, True, 0.0, None))
+
+
+def _kinds(owned: OwnedTarget) -> list[str]:
+    return [kind for _, kind, _ in owned.events]
+
+
+class EjectionTest(testtools.TestCase):
+    def test_a_dead_target_is_ejected_within_a_second_and_readmitted(self) -> None:
+        """Guards against slow detection and a target that stays out for ever."""
+
+        async def script(fleet: PromiseFleet) -> None:
+            dead = fleet.targets[0]
+            await _serve(fleet, 3)
+            dead.sicken(1.0, hard=True)
+            await _serve(fleet, 1)
+            self.assertThat(ejected_scopes(dead.ejection), Equals(("*",)))
+            await _serve(fleet, 10)
+            self.assertThat(ejected_scopes(dead.ejection), Equals(("*",)))
+            dead.heal()
+            await _serve(fleet, 20)
+            self.assertThat(ejected_scopes(dead.ejection), Equals(()))
+            self.assertThat(_kinds(dead)[-1], Equals("target_readmitted"))
+
+        _run(script)
+
+    def test_one_failing_route_is_ejected_alone(self) -> None:
+        """Guards against losing a whole target to a fault of one route."""
+
+        async def script(fleet: PromiseFleet) -> None:
+            await _serve(fleet, 3)
+            fleet.targets[0].error_ratio_by_route["book"] = 0.5
+            await _serve(fleet, 10)
+            self.assertThat(_kinds(fleet.targets[0]), Contains("target_ejected"))
+            scopes = ejected_scopes(fleet.targets[0].ejection)
+            self.assertThat(scopes, Not(Contains("*")))
+
+        _run(script)
+
+    def test_all_slow_at_once_ejects_nothing(self) -> None:
+        """Guards against overload that ejects healthy targets."""
+
+        async def script(fleet: PromiseFleet) -> None:
+            fleet.baseline_s = None
+            await _serve(fleet, 5)
+            for owned in fleet.targets:
+                owned.slow = 6.0
+            await _serve(fleet, 20)
+            for owned in fleet.targets:
+                self.assertThat(_kinds(owned), Not(Contains("target_ejected")))
+
+        for seed in range(10):
+            _run(script, seed=seed, floor_slots=0)
+
+    def test_floor_keeps_an_unhealthy_target_in(self) -> None:
+        """Guards against an ejection that the floor does not allow."""
+
+        async def script(fleet: PromiseFleet) -> None:
+            await _serve(fleet, 3)
+            fleet.targets[0].sicken(1.0, hard=True)
+            fleet.targets[1].sicken(1.0, hard=True)
+            await _serve(fleet, 15)
+            out = [t for t in fleet.targets if ejected_scopes(t.ejection)]
+            self.assertThat(len(out), LessThan(2))
+
+        _run(script, floor_slots=12)
+
+    def test_a_pause_past_the_lease_ends_the_ejection(self) -> None:
+        """Guards against a paused owner that enforces a lapsed ejection."""
+
+        async def script(fleet: PromiseFleet) -> None:
+            await _serve(fleet, 3)
+            fleet.targets[0].sicken(1.0, hard=True)
+            await _serve(fleet, 2)
+            fleet.network.paused_until["n0"] = fleet.network.now() + 12
+            fleet.targets[1].sicken(1.0, hard=True)
+            await _serve(fleet, 13)
+
+        _run(script, floor_slots=12)
+
+    def test_promises_count_from_the_request(self) -> None:
+        """Guards against a holder whose lease outlasts the giver's."""
+
+        async def script(fleet: PromiseFleet) -> None:
+            network = fleet.network
+            await _serve(fleet, 3)
+            network.call_timeout_s = 6.0
+            network.answer_delay_by_node = {"n0": 4.0}
+            fleet.targets[0].sicken(1.0, hard=True)
+            await _serve(fleet, 1.5)
+            network.cut = {("n0", f"n{n}") for n in (1, 2, 3)}
+            fleet.targets[1].sicken(1.0, hard=True)
+            await _serve(fleet, 10)
+            self.assertThat(_kinds(fleet.targets[0]), Contains("target_ejected"))
+
+        _run(script, floor_slots=12)
+
+    def test_two_targets_that_promised_each_other_are_not_both_ejected(self) -> None:
+        """Guards against an ejection by an owner that promised meanwhile."""
+
+        async def script(fleet: PromiseFleet) -> None:
+            first, second, _ = fleet.targets
+            await _serve(fleet, 3)
+            fleet.network.call_timeout_s = 4.0
+            fleet.network.answer_delay_by_node = {"n0": 1.5}
+            _fail(first)
+            await _serve(fleet, 0.3)
+            forget(first.ejection.evidence, "*")
+            await _serve(fleet, 0.3)
+            _fail(second)
+            await _serve(fleet, 0.4)
+            self.assertThat(_kinds(second), Contains("ejection_refused"))
+            _fail(first, 8)
+            await _serve(fleet, 1.5)
+            self.assertThat(_kinds(first), Contains("target_ejected"))
+
+        _run(script, targets=3, floor_slots=8)
+
+    def test_a_target_that_recovers_while_promises_come_stays_in(self) -> None:
+        """Guards against acting on evidence that is out of date."""
+
+        async def script(fleet: PromiseFleet) -> None:
+            first = fleet.targets[0]
+            await _serve(fleet, 3)
+            fleet.network.call_timeout_s = 4.0
+            fleet.network.answer_delay_by_node = {"n0": 1.0}
+            _fail(first)
+            await _serve(fleet, 0.3)
+            forget(first.ejection.evidence, "*")
+            await _serve(fleet, 3)
+            self.assertThat(_kinds(first), Equals(["ejection_refused"]))
+
+        _run(script)
+
+    def test_a_new_owner_waits_out_promises_of_the_earlier_one(self) -> None:
+        """Guards against promises lost with the owner that gave them."""
+
+        async def script(fleet: PromiseFleet) -> None:
+            moved = fleet.targets[0]
+            await _serve(fleet, 3)
+            fleet.adopt(moved)
+            moved.sicken(1.0, hard=True)
+            await _serve(fleet, 4.8)
+            self.assertThat(_kinds(moved), Not(Contains("target_ejected")))
+            await _serve(fleet, 6)
+            self.assertThat(_kinds(moved), Contains("target_ejected"))
+
+        _run(script)
+
+    def test_flapping_lengthens_the_hold(self) -> None:
+        """Guards against a flapping target that is ejected and readmitted fast."""
+
+        async def script(fleet: PromiseFleet) -> None:
+            flapping = fleet.targets[0]
+            await _serve(fleet, 3)
+            for _ in range(10):
+                flapping.sicken(1.0, hard=True)
+                await _serve(fleet, 5)
+                flapping.heal()
+                await _serve(fleet, 5)
+            kinds = _kinds(flapping)
+            self.assertThat(kinds.count("target_ejected"), GreaterThan(1))
+            self.assertThat(kinds.count("target_ejected"), LessThan(6))
+
+        _run(script)
+
+
+class GiverTest(testtools.TestCase):
+    def _refusal(self, fleet: PromiseFleet, scope: str, sickness: Sickness) -> str:
+        answer = answer_promises(
+            {"t0": fleet.targets[0].ejection}, _promise_request(scope, 1, sickness)
+        )
+        return answer["refusal_by_target"].get("t0", "")
+
+    def test_a_giver_promises_only_what_holds(self) -> None:
+        """Guards against promises for a target that is out, idle or ill itself."""
+
+        async def script(fleet: PromiseFleet) -> None:
+            giver = fleet.targets[0]
+            hard = Sickness(1.2, 0.9, 1.0, "hard")
+            slow = Sickness(1.2, 0.0, 3.0, "latency")
+            self.assertThat(self._refusal(fleet, "*", hard), Equals(""))
+            giver.ejection.promises.promise_by_key.clear()
+            self.assertThat(
+                self._refusal(fleet, "*", slow), Equals("no_recent_requests")
+            )
+            giver.slow = 2.0
+            await _serve(fleet, 3)
+            self.assertThat(
+                self._refusal(fleet, "*", slow), Equals("not_clearly_healthier")
+            )
+            giver.error_ratio_by_route["book"] = 1.0
+            await _serve(fleet, 1.5)
+            self.assertThat(ejected_scopes(giver.ejection), Equals(("book",)))
+            self.assertThat(self._refusal(fleet, "browse", hard), Equals(""))
+            forget(giver.ejection.evidence, "*")
+            for scope in ("*", "book"):
+                self.assertThat(self._refusal(fleet, scope, hard), Equals("ejected"))
+
+        _run(script)
+
+    def test_a_late_release_does_not_end_a_newer_promise(self) -> None:
+        """Guards against a doubled or delayed release."""
+        promises = Promises()
+        give(promises, _promise_request("*", 1), 0.0)
+        release(promises, _promise_request("*", 2))
+        give(promises, _promise_request("*", 3), 0.0)
+        release(promises, _promise_request("*", 2))
+        self.assertThat(forbids(promises, "*", 0.0), Equals(True))
+
+    def test_a_promise_forbids_for_its_lease_and_scopes(self) -> None:
+        """Guards against a lease or a scope that is taken too narrowly."""
+        for promised, scope, expected in (
+            ("*", "*", True),
+            ("*", "book", True),
+            ("book", "*", True),
+            ("book", "book", True),
+            ("book", "browse", False),
+        ):
+            promises = Promises()
+            give(promises, _promise_request(promised, 1), 10.0)
+            self.assertThat(forbids(promises, scope, 14.99), Equals(expected))
+            self.assertThat(forbids(promises, scope, 15.01), Equals(False))
+
+
+_TARGET = st.integers(0, 3)
+_EVENTS = st.one_of(
+    st.tuples(st.just("sicken"), _TARGET, st.sampled_from([0.2, 0.5, 1.0])),
+    st.tuples(st.just("die"), _TARGET),
+    st.tuples(st.just("slow"), _TARGET),
+    st.tuples(st.just("all_slow")),
+    st.tuples(st.just("heal"), _TARGET),
+    st.tuples(st.just("leave"), _TARGET),
+    st.tuples(st.just("move"), _TARGET),
+    st.tuples(st.just("cut"), _TARGET, _TARGET),
+    st.tuples(st.just("mend")),
+    st.tuples(st.just("pause"), _TARGET, st.floats(0.5, 8.0)),
+    st.tuples(st.just("noise"), st.floats(0, 0.4), st.floats(0, 0.4)),
+)
+
+
+def _apply(fleet: PromiseFleet, event: tuple) -> None:
+    kind, *args = event
+    network = fleet.network
+    owned = fleet.targets[args[0]] if args and isinstance(args[0], int) else None
+    match kind:
+        case "sicken":
+            owned.sicken(args[1])
+        case "die":
+            owned.sicken(1.0, hard=True)
+        case "slow":
+            owned.slow = 6.0
+        case "all_slow":
+            for other in fleet.targets:
+                other.slow = 6.0
+        case "heal":
+            owned.heal()
+        case "leave":
+            owned.ready = not owned.ready
+        case "move":
+            fleet.adopt(owned)
+        case "cut":
+            network.cut.add((owned.node, fleet.targets[args[1]].node))
+        case "mend":
+            network.cut.clear()
+            network.loss = network.doubled = 0.0
+        case "pause":
+            network.paused_until[owned.node] = network.now() + args[1]
+        case "noise":
+            network.loss, network.doubled = args
+            network.delay_s = 0.1
+
+
+class FloorPropertyTest(testtools.TestCase):
+    @given(
+        st.lists(st.tuples(_EVENTS, st.floats(0.1, 3.0)), min_size=3, max_size=10),
+        st.integers(0, 10_000),
+        st.sampled_from([4, 8, 12]),
+    )
+    def test_capacity_never_falls_below_the_floor_through_an_ejection(
+        self, events: list, seed: int, floor_slots: int
+    ) -> None:
+        """Guards guarantee 1 against faults in any order and combination."""
+
+        async def script(fleet: PromiseFleet) -> None:
+            await _serve(fleet, 1)
+            for event, wait_s in events:
+                _apply(fleet, event)
+                await _serve(fleet, wait_s)
+            await _serve(fleet, 6)
+
+        _run(script, seed=seed, floor_slots=floor_slots)
