--- /dev/null
+++ b/tests/test_attempts.py
@@ -0,0 +1,163 @@
+"""Attempt records against a model: a "not run" that was told stays true."""
+
+import testtools
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
+from returns.result import Success
+from testtools.matchers import Equals
+
+from siskinlug.attempts import begin, cancel, confirm, finish, make_attempts
+from siskinlug.attempts import mark_started as start
+from siskinlug.verdict import Verdict
+
+_INCARNATION = 7
+_KEEP_S = 16.0
+_PICK = st.integers(0, 63)
+
+
+class AttemptsMachine(RuleBasedStateMachine):
+    """Delayed and cancelled attempts at one owner whose records are dropped early."""
+
+    max_finished = 3
+    duplicates = False
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+        self.attempts = make_attempts(
+            incarnation=_INCARNATION,
+            monotonic=lambda: self.now,
+            keep_s=_KEEP_S,
+            max_finished=self.max_finished,
+            max_tombstones=3,
+        )
+        self.sent_at: list[float] = []
+        self.arrived: set[int] = set()
+        self.queued: list[str] = []
+        self.ran: set[str] = set()
+        self.told_not_run: set[str] = set()
+
+    @rule(arrives=st.booleans())
+    def send(self, arrives: bool) -> None:
+        self.sent_at.append(self.now)
+        if arrives:
+            self._arrive(len(self.sent_at) - 1)
+
+    @precondition(lambda self: self.sent_at)
+    @rule(pick=_PICK)
+    def arrive_late(self, pick: int) -> None:
+        """A delayed arrival, within ``keep_s`` as the network bounds it."""
+        index = len(self.sent_at) - 1 - pick % min(len(self.sent_at), 6)
+        if self.now - self.sent_at[index] < _KEEP_S:
+            self._arrive(index)
+
+    @precondition(lambda self: self.queued)
+    @rule(pick=_PICK)
+    def run(self, pick: int) -> None:
+        attempt = self.queued.pop(pick % len(self.queued))
+        if not start(self.attempts, attempt):
+            finish(self.attempts, attempt, Verdict.NOT_RUN)
+            return
+        assert attempt not in self.told_not_run, "ran after it was called not run"
+        assert attempt not in self.ran, "one attempt ran twice"
+        self.ran.add(attempt)
+        if pick % 2:
+            finish(self.attempts, attempt, Verdict.RAN)
+
+    @precondition(lambda self: self.queued)
+    @rule(pick=_PICK)
+    def refuse(self, pick: int) -> None:
+        attempt = self.queued.pop(pick % len(self.queued))
+        finish(self.attempts, attempt, Verdict.NOT_RUN)
+
+    @precondition(lambda self: self.sent_at)
+    @rule(pick=_PICK, other=st.booleans())
+    def cancel(self, pick: int, other: bool) -> None:
+        index = len(self.sent_at) - 1 - pick % min(len(self.sent_at), 12)
+        attempt = f"a{index}"
+        incarnation = _INCARNATION + (other and pick % 4 == 0)
+        verdict = confirm(
+            cancel(self.attempts, attempt, incarnation),
+            sent_at=self.sent_at[index],
+            answered_at=self.now,
+            keep_s=_KEEP_S,
+        )
+        if verdict is Verdict.NOT_RUN:
+            assert incarnation == _INCARNATION, "another incarnation cannot know"
+            assert attempt not in self.ran, "called not run after it ran"
+            self.told_not_run.add(attempt)
+
+    @rule(seconds=st.sampled_from([0.1, 1.0, 2.0, 5.0]))
+    def wait(self, seconds: float) -> None:
+        """Pass time during which the owner works, in steps it can see."""
+        for _ in range(int(seconds * 10)):
+            self.now += 0.1
+            self.attempts.advance()
+
+    def _arrive(self, index: int) -> None:
+        if index in self.arrived and not self.duplicates:
+            return
+        self.arrived.add(index)
+        attempt = f"a{index}"
+        if isinstance(begin(self.attempts, attempt), Success):
+            self.queued.append(attempt)
+
+
+class DuplicatesMachine(AttemptsMachine):
+    """The same with attempts that arrive more than once while they are recorded."""
+
+    max_finished = 10_000
+    duplicates = True
+
+
+AttemptsModelTest = AttemptsMachine.TestCase
+DuplicatesModelTest = DuplicatesMachine.TestCase
+for _case in (AttemptsModelTest, DuplicatesModelTest):
+    _case.settings = settings(max_examples=100, stateful_step_count=60)
+
+
+class AttemptsTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.now = 0.0
+        self.attempts = make_attempts(
+            incarnation=_INCARNATION, monotonic=lambda: self.now, keep_s=16.0
+        )
+
+    def test_a_late_attempt_is_refused_after_a_pause(self) -> None:
+        """Guards against a pause that expires the tombstone before the attempt."""
+        self.assertThat(
+            cancel(self.attempts, "a", _INCARNATION), Equals(Verdict.NOT_RUN)
+        )
+        self.now = 1000.0
+        self.assertFalse(isinstance(begin(self.attempts, "a"), Success))
+
+    def test_cancel_wakes_the_waiting_task_once(self) -> None:
+        """Guards against a cancelled attempt that keeps its place in the queue."""
+        woken: list[int] = []
+        begin(self.attempts, "a", on_cancel=lambda: woken.append(1))
+        cancel(self.attempts, "a", _INCARNATION)
+        cancel(self.attempts, "a", _INCARNATION)
+        self.assertThat(woken, Equals([1]))
+        self.assertFalse(start(self.attempts, "a"))
+
+    def test_memory_is_bounded(self) -> None:
+        """Guards against records that outlive ``keep_s``."""
+        for number in range(400):
+            self.now += 1.0
+            begin(self.attempts, f"a{number}")
+            start(self.attempts, f"a{number}")
+            finish(self.attempts, f"a{number}", Verdict.RAN)
+        self.assertThat(len(self.attempts.finished) <= 18, Equals(True))
+        self.assertThat(len(self.attempts.started_by_attempt), Equals(0))
+
+    def test_full_tombstones_never_promise(self) -> None:
+        """Guards against a not-run without a tombstone that makes it true."""
+        attempts = make_attempts(
+            incarnation=_INCARNATION, monotonic=lambda: self.now, max_tombstones=1
+        )
+        cancel(attempts, "a", _INCARNATION)
+        self.assertThat(
+            cancel(attempts, "b", _INCARNATION), Equals(Verdict.MAY_HAVE_RUN)
+        )
