--- a/siskinlug/ejection.py
+++ b/siskinlug/ejection.py
@@ -30,6 +30,7 @@
     is_promised,
     release,
 )
+from siskinlug.timeline import Kind
 
 TICK_S = 0.1
 ALARM_SCORE = 1.0
@@ -261,7 +262,7 @@
     pools: Callable[[], Sequence[PoolView]],
     call_peer: CallPeer,
     probe: Callable[[], Awaitable[bool]],
-    note: Callable[[str, str], None],
+    note: Callable[[Kind, str], None],
     on_change: Callable[[], None],
     sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
 ) -> None:
@@ -298,7 +299,7 @@
     pools: Callable[[], Sequence[PoolView]]
     call_peer: CallPeer
     probe: Callable[[], Awaitable[bool]]
-    note: Callable[[str, str], None]
+    note: Callable[[Kind, str], None]
     on_change: Callable[[], None]
     sleep: Callable[[float], Awaitable[None]]
 
@@ -363,20 +364,26 @@
         if sickness.score < ALARM_SCORE and await runner.probe():
             _back_off(ejection, scope)
             return
+        if scope not in ejection.failures_by_scope:
+            runner.note(Kind.TARGET_SICK, f"{scope}: {sickness}")
         out = _Out(scope, sickness)
         if not await _collect(runner, out):
-            runner.note("ejection_refused", f"{scope}: too few promises, {sickness}")
+            runner.note(
+                Kind.TARGET_EJECTION_REFUSED, f"{scope}: too few promises, {sickness}"
+            )
             await _give_up(runner, out)
             return
         # From the check to the ejection nothing is awaited, so that a promise
         # cannot be given between them.
         if not _may_eject(ejection, out):
-            runner.note("ejection_refused", f"{scope}: target is promised or well")
+            runner.note(
+                Kind.TARGET_EJECTION_REFUSED, f"{scope}: target is promised or well"
+            )
             await _give_up(runner, out)
             return
         ejection.out_by_scope[scope] = out
         ejection.failures_by_scope.pop(scope, None)
-        runner.note("target_ejected", f"{scope}: {sickness}")
+        runner.note(Kind.TARGET_EJECTED, f"{scope}: {sickness}")
         _publish(runner)
         try:
             await _serve_ejection(runner, out)
@@ -541,11 +548,11 @@
         await asyncio.wait({keeping, readmitting}, return_when=asyncio.FIRST_COMPLETED)
         if readmitting.done():
             readmitting.result()
-            runner.note("target_readmitted", out.scope)
+            runner.note(Kind.TARGET_READMITTED, out.scope)
         else:
             keeping.result()
             _back_off(runner.ejection, out.scope)
-            runner.note("ejection_lapsed", f"{out.scope}: promises ended")
+            runner.note(Kind.TARGET_EJECTION_LAPSED, f"{out.scope}: promises ended")
     finally:
         for task in (keeping, readmitting):
             task.cancel()
@@ -605,14 +612,14 @@
     forget(ejection.evidence, out.scope)
     out.trial_tokens, out.trial_refilled = 1.0, started
     out.in_trial = True
-    runner.note("readmission_started", out.scope)
+    runner.note(Kind.TARGET_TRIAL_STARTED, out.scope)
     _publish(runner)
     while True:
         await runner.sleep(TICK_S)
         sickness = judge(ejection.evidence).get(out.scope, HEALTHY)
         if sickness.score >= TRIAL_SCORE_MAX:
             out.in_trial = False
-            runner.note("readmission_failed", f"{out.scope}: {sickness}")
+            runner.note(Kind.TARGET_TRIAL_FAILED, f"{out.scope}: {sickness}")
             _publish(runner)
             return False
         seen = observed_requests(ejection.evidence, out.scope)
--- a/siskinlug/timeline.py
+++ b/siskinlug/timeline.py
@@ -39,6 +39,9 @@
     TARGET_SICK = "target_sick"
     TARGET_EJECTED = "target_ejected"
     TARGET_EJECTION_REFUSED = "target_ejection_refused"
+    TARGET_EJECTION_LAPSED = "target_ejection_lapsed"
+    TARGET_TRIAL_STARTED = "target_trial_started"
+    TARGET_TRIAL_FAILED = "target_trial_failed"
     TARGET_READMITTED = "target_readmitted"
     REQUEST_SUSPECTED = "request_suspected"
     REQUEST_REFUSED = "request_refused"
@@ -79,6 +82,12 @@
     Kind.TARGET_EJECTED: "The owner ejected a target. Subject: target.",
     Kind.TARGET_EJECTION_REFUSED: "An ejection lacked stay-in promises. "
     "Subject: target.",
+    Kind.TARGET_EJECTION_LAPSED: "Stay-in promises ended, so an ejected target is in "
+    "again. Subject: target.",
+    Kind.TARGET_TRIAL_STARTED: "An ejected target gets a few requests again. "
+    "Subject: target.",
+    Kind.TARGET_TRIAL_FAILED: "These requests went badly; the target is out again. "
+    "Subject: target.",
     Kind.TARGET_READMITTED: "The owner readmitted a target. Subject: target.",
     Kind.REQUEST_SUSPECTED: "A request was running when a target crashed. "
     "Subject: its fingerprint.",
--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -218,7 +218,7 @@
             await _serve(fleet, 0.3)
             _fail(second)
             await _serve(fleet, 0.4)
-            self.assertThat(_kinds(second), Contains("ejection_refused"))
+            self.assertThat(_kinds(second), Contains("target_ejection_refused"))
             _fail(first, 8)
             await _serve(fleet, 1.5)
             self.assertThat(_kinds(first), Contains("target_ejected"))
@@ -237,7 +237,9 @@
             await _serve(fleet, 0.3)
             forget(first.ejection.evidence, "*")
             await _serve(fleet, 3)
-            self.assertThat(_kinds(first), Equals(["ejection_refused"]))
+            self.assertThat(
+                _kinds(first), Equals(["target_sick", "target_ejection_refused"])
+            )
 
         _run(script)
 
