--- a/bench/hops.py
+++ b/bench/hops.py
@@ -12,7 +12,6 @@
 
 from rich.console import Console
 from rich.table import Table
-from standins.caller import Call, run_closed_loop, run_open_loop
 
 from bench.fleet import (
     CALLER_PORT,
@@ -22,6 +21,7 @@
     TargetSpec,
     open_fleet,
 )
+from standins.caller import Call, run_closed_loop, run_open_loop
 
 # 35,000 requests/s over 430 nodes.
 PACED_RATE = 81.0
--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -292,6 +292,9 @@
             slow = Sickness(1.2, 0.0, 3.0, "latency")
             self.assertThat(self._refusal(fleet, "*", hard), Equals(""))
             giver.ejection.promises.promise_by_key.clear()
+            giver.ready = False
+            self.assertThat(self._refusal(fleet, "*", hard), Equals("not_ready"))
+            giver.ready = True
             self.assertThat(
                 self._refusal(fleet, "*", slow), Equals("no_recent_requests")
             )
