--- /dev/null
+++ b/bench/measures.py
@@ -0,0 +1,403 @@
+"""The measures of section 1.3 of the design page, each beside its baselines.
+
+``python -m bench.measures [--seed N] [MEASURE ...]`` prints one table and writes
+JSON and plots to ``out/``.
+"""
+
+import argparse
+import json
+from collections import defaultdict
+from collections.abc import Callable, Mapping, Sequence
+from concurrent.futures import ProcessPoolExecutor
+from itertools import pairwise
+from pathlib import Path
+from random import Random
+from typing import NamedTuple
+
+from bench.baselines import BASELINES
+from bench.replay import SISKINLUG, Policy, Replay, quantile, replay
+from bench.trace import Arrival, Fleet, Trace
+
+OUT = Path("out")
+SEED = 20261204
+WORKERS = 4
+# Lognormal service times with p99 at 4.6 times the mean.
+SERVICE_MEDIAN_S = 0.015
+SERVICE_SIGMA = 0.8
+LONG_RATIO = 100.0
+SERVICE_MEAN_S = SERVICE_MEDIAN_S * 2.718281828 ** (SERVICE_SIGMA**2 / 2)
+FLEETS: Mapping[str, Fleet] = {
+    # Service bookings: 8 upstreams of 6 slots in four failure domains.
+    "robe-hire": Fleet(targets=8, slots=6, domains=4, client_s=0.001),
+    # Service narudzbe: 12 upstreams of 4 slots in three failure domains.
+    "scriptorium": Fleet(targets=12, slots=4, domains=3, client_s=0.003),
+}
+POLICIES = (SISKINLUG, *BASELINES)
+
+
+class Figure(NamedTuple):
+    """One figure of one policy; ``goal`` is empty where the page states none."""
+
+    measure: str
+    deployment: str
+    policy: str
+    name: str
+    value: float
+    goal: str
+    met: bool | None
+
+
+class Goal(NamedTuple):
+    """A bound on a figure."""
+
+    text: str
+    met: Callable[[float], bool]
+
+
+def at_least(bound: float) -> Goal:
+    """Make a lower bound."""
+    return Goal(f">= {bound:g}", lambda value: value >= bound)
+
+
+def at_most(bound: float) -> Goal:
+    """Make an upper bound."""
+    return Goal(f"<= {bound:g}", lambda value: value <= bound)
+
+
+def capacity(fleet: Fleet) -> float:
+    """Return the requests/s of short work that all slots together serve."""
+    return fleet.targets * fleet.slots / SERVICE_MEAN_S
+
+
+def poisson(
+    random: Random, rate: Callable[[float], float], until_s: float, most: float
+) -> list[float]:
+    """Draw arrival times with a changing rate, by thinning."""
+    times = []
+    now = random.expovariate(most)
+    while now < until_s:
+        if random.random() * most < rate(now):
+            times.append(now)
+        now += random.expovariate(most)
+    return times
+
+
+def service_s(random: Random) -> float:
+    """Draw the service time of a short request."""
+    return SERVICE_MEDIAN_S * random.lognormvariate(0.0, SERVICE_SIGMA)
+
+
+# Demand in multiples of capacity: rest, a rise within 2 s, the peak, a fall, rest.
+PEAK_POINTS = ((0.0, 0.5), (2.0, 0.5), (4.0, 3.0), (7.0, 3.0), (8.0, 0.5), (10.5, 0.5))
+PEAK_ACCOUNTS = 20
+LARGEST_SHARE = 0.4  # one account sends this share of all requests
+
+
+def demand(at: float) -> float:
+    """Return the demand at a time in multiples of capacity."""
+    for (start, low), (end, high) in pairwise(PEAK_POINTS):
+        if start <= at < end:
+            return low + (high - low) * (at - start) / (end - start)
+    return PEAK_POINTS[-1][1]
+
+
+def peak_trace(fleet: Fleet, seed: int) -> Trace:
+    """Build the demand peak: half to three times capacity within 2 s, and back."""
+    random = Random(seed)
+    full = capacity(fleet)
+    times = poisson(random, lambda at: demand(at) * full, PEAK_POINTS[-1][0], 3 * full)
+    others = [f"account-{i:02}" for i in range(1, PEAK_ACCOUNTS)]
+    # The other accounts differ by a factor of five.
+    weights = [1 + 4 * i / (len(others) - 1) for i in range(len(others))]
+    arrivals = []
+    for at in times:
+        largest = random.random() < LARGEST_SHARE
+        account = "account-00" if largest else random.choices(others, weights)[0]
+        arrivals.append(Arrival(at, service_s(random), account=account))
+    return Trace("crest", fleet, arrivals)
+
+
+def fair_shares(offered: Mapping[str, float], total: float) -> dict[str, float]:
+    """Share a capacity by max-min fairness between accounts that offer work."""
+    shares: dict[str, float] = {}
+    left = total
+    for place, account in enumerate(sorted(offered, key=lambda a: offered[a])):
+        shares[account] = min(offered[account], left / (len(offered) - place))
+        left -= shares[account]
+    return shares
+
+
+def unloaded_p99_s(fleet: Fleet, seed: int) -> float:
+    """Return the p99 of short requests at a twentieth of capacity."""
+    random = Random(seed + 1)
+    rate = capacity(fleet) / 20
+    times = poisson(random, lambda at: rate, 60.0, rate)
+    trace = Trace("unloaded", fleet, [Arrival(t, service_s(random)) for t in times])
+    return quantile((d.latency_s for d in replay(trace, seed=seed).done), 0.99)
+
+
+def crest(deployment: str, policy: Policy, seed: int) -> list[Figure]:
+    """Measure the demand peak for one policy."""
+    fleet = FLEETS[deployment]
+    run = replay(peak_trace(fleet, seed), policy=policy, seed=seed)
+    unloaded = unloaded_p99_s(fleet, seed)
+    full = capacity(fleet)
+    peak_start, peak_end = 2.4, 7.8  # demand is above capacity
+    useful = [done for done in run.done if done.useful]
+    window_s = 0.5
+
+    def rate(start: float, end: float) -> float:
+        return sum(start <= d.finished < end for d in useful) / (end - start)
+
+    peak_windows = [
+        rate(peak_start + i * window_s, peak_start + (i + 1) * window_s) / full
+        for i in range(1, int((peak_end - peak_start) / window_s))
+    ]
+    at_peak = [d for d in run.done if peak_start <= d.arrival.at < peak_end]
+    offered: dict[str, float] = defaultdict(float)
+    got: dict[str, float] = defaultdict(float)
+    for done in at_peak:
+        offered[done.arrival.account] += 1
+        got[done.arrival.account] += done.useful
+    shares = fair_shares(offered, sum(got.values()))
+    p99 = quantile((d.latency_s for d in at_peak if d.useful), 0.99)
+
+    def make(name: str, value: float, goal: Goal | None = None) -> Figure:
+        return _figure("crest", deployment, policy, name, value, goal)
+
+    return [
+        make("useful / capacity, mean", rate(peak_start, peak_end) / full),
+        make("useful / capacity, worst 0.5 s", min(peak_windows), at_least(0.95)),
+        make("short p99 / unloaded p99", p99 / unloaded, at_most(2.0)),
+        make(
+            "least share / fair share",
+            min(got[account] / share for account, share in shares.items()),
+            at_least(0.8),
+        ),
+        make("back to normal, s", _recovery_s(run, unloaded), at_most(2.0)),
+        make("most in slots / slots", _most_in_slots(run), at_most(1.0)),
+        make("attempts / request at peak", _mean([d.attempts for d in at_peak])),
+    ]
+
+
+def _mean(values: Sequence[float]) -> float:
+    return sum(values) / len(values) if values else 0.0
+
+
+def _most_in_slots(run: Replay) -> float:
+    return max(t.most for t in run.targets.values()) / run.trace.fleet.slots
+
+
+def _recovery_s(run: Replay, unloaded_s: float) -> float:
+    """Return the time from the end of the peak until all later windows are normal.
+
+    Normal: 99 % of the requests that arrive in a window of 0.25 s are useful, and
+    their p90 is within the unloaded p99.
+    """
+    window_s, end = 0.25, 8.0
+    last = end
+    at = end
+    while at < PEAK_POINTS[-1][0]:
+        within = [d for d in run.done if at <= d.arrival.at < at + window_s]
+        useful = [d.latency_s for d in within if d.useful]
+        normal = len(useful) >= 0.99 * len(within)
+        if not normal or quantile(useful, 0.9) > unloaded_s:
+            last = at + window_s
+        at += window_s
+    return last - end
+
+
+class Mix(NamedTuple):
+    """A reading of "5 % of work": share of requests that are 100 times longer."""
+
+    name: str
+    long_share: float
+    warm_up_s: float
+    until_s: float
+
+
+MIXES = (
+    Mix("5 % of requests", 0.05, 20.0, 60.0),
+    # 5 % of all service time: 0.05 / 100 / 0.95 of the requests.
+    Mix("5 % of service time", 0.000526, 8.0, 25.0),
+)
+
+
+def long_trace(fleet: Fleet, mix: Mix, seed: int, load: float = 0.8) -> Trace:
+    """Build a mix of short and long work; the long route is not declared."""
+    random = Random(seed)
+    mean = SERVICE_MEAN_S * (1 + mix.long_share * (LONG_RATIO - 1))
+    rate = load * fleet.targets * fleet.slots / mean
+    arrivals = []
+    for at in poisson(random, lambda _: rate, mix.until_s, rate):
+        service = service_s(random)
+        account = f"account-{random.randrange(20):02}"
+        if random.random() < mix.long_share:
+            arrivals.append(
+                Arrival(at, LONG_RATIO * service, "bundle", account, deadline_s=120.0)
+            )
+        else:
+            arrivals.append(Arrival(at, service, "browse", account, deadline_s=10.0))
+    return Trace("head_of_line", fleet, arrivals)
+
+
+def head_of_line(deployment: str, policy: Policy, seed: int) -> list[Figure]:
+    """Measure short work beside long work for one policy."""
+    figures = []
+    for mix in MIXES:
+        trace = long_trace(FLEETS[deployment], mix, seed)
+        mixed = replay(trace, policy=policy, seed=seed)
+        short_only = [a for a in trace.arrivals if a.route == "browse"]
+        alone = replay(trace._replace(arrivals=short_only), policy=policy, seed=seed)
+        late = [d for d in mixed.done if d.arrival.at >= mix.warm_up_s]
+        long_work = [d for d in late if d.arrival.route == "bundle"]
+        short = [d for d in late if d.arrival.route == "browse"]
+
+        def make(
+            name: str, value: float, goal: Goal | None = None, mix: Mix = mix
+        ) -> Figure:
+            label = f"{mix.name}: {name}"
+            return _figure("head_of_line", deployment, policy, label, value, goal)
+
+        ratio = _short_p99(mixed, mix) / _short_p99(alone, mix)
+        figures += [
+            make("short p99 / alone", ratio, at_most(1.25)),
+            make("short useful", _mean([d.useful for d in short])),
+            make("long useful", _mean([d.useful for d in long_work]), at_least(0.99)),
+            make(
+                "long p50 stretch",
+                quantile(
+                    (d.latency_s / d.arrival.service_s for d in long_work if d.useful),
+                    0.5,
+                ),
+            ),
+        ]
+    return figures
+
+
+def _short_p99(run: Replay, mix: Mix) -> float:
+    return quantile(
+        (
+            d.latency_s
+            for d in run.done
+            if d.useful
+            and d.arrival.route == "browse"
+            and d.arrival.at >= mix.warm_up_s
+        ),
+        0.99,
+    )
+
+
+def _figure(
+    measure: str,
+    deployment: str,
+    policy: Policy,
+    name: str,
+    value: float,
+    goal: Goal | None,
+) -> Figure:
+    return Figure(
+        measure,
+        deployment,
+        policy.name,
+        name,
+        value,
+        goal.text if goal else "",
+        goal.met(value) if goal else None,
+    )
+
+
+Measure = Callable[[str, Policy, int], list[Figure]]
+MEASURES: dict[str, Measure] = {"crest": crest, "head_of_line": head_of_line}
+POLICIES_BY_MEASURE: dict[str, Sequence[Policy]] = {
+    # No long work takes part in the peak.
+    "crest": [p for p in POLICIES if p.reserve],
+    "head_of_line": POLICIES,
+}
+
+
+def _run(measure: str, deployment: str, place: int, seed: int) -> list[Figure]:
+    # The policy is passed by its place, since its functions cannot be pickled.
+    policy = POLICIES_BY_MEASURE[measure][place]
+    return MEASURES[measure](deployment, policy, seed)
+
+
+def table(figures: Sequence[Figure]) -> str:
+    """Format figures as one table with a column for each policy."""
+    lines = []
+    by_row: dict[tuple[str, str, str], dict[str, Figure]] = defaultdict(dict)
+    for figure in figures:
+        by_row[figure.measure, figure.deployment, figure.name][figure.policy] = figure
+    previous: tuple[str, str] | None = None
+    for (measure, deployment, name), row in by_row.items():
+        if (measure, deployment) != previous:
+            previous = measure, deployment
+            heads = "".join(f"{policy[:15]:>17}" for policy in row)
+            lines += ["", f"{measure}, {deployment}", f"{'':44}{'goal':>8}{heads}"]
+        values = ""
+        goal = ""
+        for figure in row.values():
+            goal = figure.goal
+            mark = " " if figure.met in (True, None) else "!"
+            values += f"{figure.value:>16.3f}{mark}"
+        lines.append(f"{name:44}{goal:>8}{values}")
+    return "\n".join([*lines, "", "! marks a figure that misses its goal."])
+
+
+def plot(figures: Sequence[Figure], out: Path) -> None:
+    """Draw one plot for each measure: every figure with a goal, by policy."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    for measure in sorted({figure.measure for figure in figures}):
+        rows: dict[str, list[Figure]] = defaultdict(list)
+        for figure in figures:
+            if figure.measure == measure and figure.goal:
+                rows[f"{figure.deployment}\n{figure.name}"].append(figure)
+        made, axes = pyplot.subplots(len(rows), 1, figsize=(8, 1.6 * len(rows)))
+        for axis, (label, row) in zip(axes, rows.items(), strict=True):
+            axis.barh([f.policy for f in row], [f.value for f in row])
+            axis.axvline(float(row[0].goal.split()[1]), color="black", linestyle="--")
+            axis.set_title(f"{label}  (goal {row[0].goal})", fontsize=8)
+            axis.tick_params(labelsize=7)
+        made.tight_layout()
+        made.savefig(out / f"{measure}.png")
+        pyplot.close(made)
+
+
+def main() -> None:
+    """Run the measures named on the command line, or all."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("measures", nargs="*", metavar="MEASURE")
+    parser.add_argument("--seed", type=int, default=SEED)
+    parser.add_argument("--out", type=Path, default=OUT)
+    options = parser.parse_args()
+    names = options.measures or list(MEASURES)
+    unknown = [name for name in names if name not in MEASURES]
+    if unknown:
+        parser.error(f"unknown measures: {', '.join(unknown)}")
+    print(f"seed {options.seed}")
+    jobs = [
+        (name, deployment, place, options.seed)
+        for name in names
+        for deployment in FLEETS
+        for place in range(len(POLICIES_BY_MEASURE[name]))
+    ]
+    with ProcessPoolExecutor(WORKERS) as pool:
+        found = pool.map(_run, *zip(*jobs, strict=True))
+        figures = [figure for part in found for figure in part]
+    options.out.mkdir(exist_ok=True)
+    (options.out / "measures.json").write_text(
+        json.dumps(
+            {"seed": options.seed, "figures": [f._asdict() for f in figures]}, indent=1
+        ),
+        "utf-8",
+    )
+    plot(figures, options.out)
+    print(table(figures))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/replay.py
@@ -0,0 +1,395 @@
+"""Replay of recorded traces in virtual time through the daemon's own rules.
+
+A trace holds arrivals with their service times and faults by target, route and time.
+Choice, admission, retries and service times are the daemon's modules; the target,
+the hop between nodes and the caller are small fakes. Nothing here models a cluster:
+there are no nodes, no membership and no messages.
+"""
+
+import asyncio
+from collections.abc import Callable, Coroutine, Iterable, Sequence
+from contextlib import AbstractAsyncContextManager
+from random import Random
+from typing import Any, NamedTuple, Protocol
+
+from returns.result import Failure, Result
+
+from bench.trace import Arrival, Fault, Trace
+from bench.virtual_time import run_virtual
+from siskinlug.admission import Ticket, make_admission, open_slot
+from siskinlug.choice import Candidate, make_choice
+from siskinlug.load import LoadReport
+from siskinlug.retries import make_retry_budget, may_retry, note_success
+from siskinlug.service_times import is_long, make_service_times, observe, usual_s
+from siskinlug.tables import Route
+from siskinlug.verdict import Reason, Refusal, may_have_run, not_run
+
+
+class Answer(NamedTuple):
+    """What a target returned; ``hard`` when the connection failed."""
+
+    status: int | None
+    service_s: float
+    shed: bool = False
+    hard: bool = False
+
+
+class Observation(NamedTuple):
+    """One finished attempt as its entry and its owner saw it."""
+
+    at: float
+    entry: int
+    target: str
+    arrival: Arrival
+    answer: Answer
+
+
+class Done(NamedTuple):
+    """The end of one request."""
+
+    arrival: Arrival
+    useful: bool
+    latency_s: float
+    target: str
+    attempts: int
+    refusal: Refusal | None
+    finished: float
+
+
+class SlotLike(Protocol):
+    """What the replay needs of a slot."""
+
+    def finish(self, status: int | None, service_s: float, shed: bool) -> None:
+        """Report how the attempt ended."""
+
+
+OpenSlot = Callable[[Any, Ticket], AbstractAsyncContextManager[Result[Any, Refusal]]]
+
+
+class Policy(NamedTuple):
+    """The rules under test, replaced one at a time by baselines."""
+
+    name: str = "siskinlug"
+    make_choice: Callable[..., Callable[[Sequence[Candidate]], Candidate | None]] = (
+        make_choice
+    )
+    make_admission: Callable[..., Any] = make_admission
+    open_slot: OpenSlot = open_slot
+    report: Callable[[Any], LoadReport | None] = lambda admission: admission.report()
+    reserve: bool = True
+
+
+class Hooks(NamedTuple):
+    """Where evidence and ejection attach.
+
+    Attributes:
+        on_answer: Called for every attempt that reached a target.
+        is_ejected: Whether a target is out for a route.
+        background: Task run beside the replay, such as judging or probing.
+    """
+
+    on_answer: Callable[[Observation], None] = lambda observation: None
+    is_ejected: Callable[[str, str], bool] = lambda target, route: False
+    background: Callable[["Replay"], Coroutine[Any, Any, None]] | None = None
+
+
+SISKINLUG = Policy()
+NO_HOOKS = Hooks()
+
+
+class FakeTarget:
+    """A target with slots and faults; it sheds what exceeds its slots."""
+
+    def __init__(
+        self, name: str, slots: int, faults: Iterable[Fault], random: Random
+    ) -> None:
+        self.name = name
+        self.slots = slots
+        self.faults = [fault for fault in faults if fault.target == name]
+        self.random = random
+        self.running = 0
+        self.most = 0
+        self.runs = 0
+
+    def _effects(self, arrival: Arrival, now: float) -> dict[str, Fault]:
+        return {
+            fault.effect: fault
+            for fault in self.faults
+            if fault.start_s <= now < fault.end_s
+            and fault.route in ("*", arrival.route)
+            and arrival.account.startswith(fault.account_prefix)
+            and (fault.ratio >= 1.0 or self.random.random() < fault.ratio)
+        }
+
+    async def run(self, arrival: Arrival) -> Answer:
+        """Run one request to its answer."""
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        effects = self._effects(arrival, started)
+        if "refuse" in effects:
+            return Answer(None, 0.0, hard=True)
+        if "shed" in effects or self.running >= self.slots:
+            return Answer(503, 0.0, shed=True)
+        self.running += 1
+        self.runs += 1
+        self.most = max(self.most, self.running)
+        try:
+            if "silent" in effects:
+                await asyncio.sleep(3600)
+            slow = effects["slow"].factor if "slow" in effects else 1.0
+            await asyncio.sleep(arrival.service_s * slow)
+        finally:
+            self.running -= 1
+        return Answer(500 if "error" in effects else 200, loop.time() - started)
+
+
+class Replay:
+    """One run of a trace; ``targets`` and ``admissions`` are by target name."""
+
+    def __init__(self, trace: Trace, policy: Policy, hooks: Hooks, seed: int) -> None:
+        self.trace = trace
+        self.policy = policy
+        self.hooks = hooks
+        self.loop = asyncio.get_running_loop()
+        fleet = trace.fleet
+        random = Random(seed)
+        names = [f"t{i:02}" for i in range(fleet.targets)]
+        self.domain_by_target = {n: i % fleet.domains for i, n in enumerate(names)}
+        self.targets = {
+            n: FakeTarget(n, fleet.slots, trace.faults, Random(random.random()))
+            for n in names
+        }
+        self.admissions = {
+            n: policy.make_admission(
+                target=n,
+                slots=fleet.slots,
+                queue=fleet.queue,
+                queue_wait_s=fleet.queue_wait_s,
+                monotonic=self.loop.time,
+                random=Random(random.random()),
+            )
+            for n in names
+        }
+        self.entries = [
+            _Entry(self, i, Random(random.random())) for i in range(fleet.targets)
+        ]
+        self.random = random
+        self.done: list[Done] = []
+
+    async def run(self) -> None:
+        """Play all arrivals and wait for their ends."""
+        extra = None
+        if self.hooks.background is not None:
+            extra = asyncio.create_task(self.hooks.background(self))
+        async with asyncio.TaskGroup() as group:
+            for arrival in self.trace.arrivals:
+                await asyncio.sleep(arrival.at - self.loop.time())
+                entry = self.random.choice(self.entries)
+                group.create_task(entry.serve(arrival))
+        if extra is not None:
+            extra.cancel()
+            await asyncio.gather(extra, return_exceptions=True)
+
+
+class _Entry:
+    """An entry: chooses, calls the owner after a hop, retries by the rules."""
+
+    def __init__(self, replay: Replay, number: int, random: Random) -> None:
+        self.replay = replay
+        self.number = number
+        clock = replay.loop.time
+        self.domain = number % replay.trace.fleet.domains
+        self.choose = replay.policy.make_choice(random=random)
+        self.times = make_service_times(monotonic=clock)
+        self.budget = make_retry_budget(monotonic=clock)
+        self.load_by_target: dict[str, tuple[LoadReport, float]] = {}
+
+    def _distance(self, target: str) -> int:
+        if int(target[1:]) == self.number:
+            return 0
+        return 1 if self.replay.domain_by_target[target] == self.domain else 2
+
+    def _candidates(self, route: str, tried: set[str]) -> list[Candidate]:
+        now = self.replay.loop.time()
+        slots = self.replay.trace.fleet.slots
+        found = []
+        for target in self.replay.targets:
+            if self.replay.hooks.is_ejected(target, route) or target in tried:
+                continue
+            load, at = self.load_by_target.get(target, (None, now))
+            found.append(
+                Candidate(
+                    target,
+                    target,
+                    self._distance(target),
+                    1.0,
+                    slots,
+                    load,
+                    now - at,
+                )
+            )
+        return found
+
+    async def serve(self, arrival: Arrival) -> None:
+        """Serve one request of a caller and note its end."""
+        loop = self.replay.loop
+        client_s = self.replay.trace.fleet.client_s
+        deadline = arrival.at + arrival.deadline_s
+        target, attempts = "", 0
+        refusal: Refusal | None = None
+        route = Route(
+            arrival.route, "*", "/", (), "pool", idempotent=arrival.idempotent
+        )
+        tried: set[str] = set()
+        try:
+            async with asyncio.timeout_at(deadline):
+                await asyncio.sleep(client_s)
+                while True:
+                    chosen = self.choose(self._candidates(arrival.route, tried))
+                    if chosen is None:
+                        refusal = refusal or not_run(Reason.NO_TARGET)
+                        break
+                    target, attempts = chosen.target, attempts + 1
+                    refusal = await self._attempt(chosen, arrival, deadline)
+                    if refusal is None:
+                        note_success(self.budget)
+                        break
+                    tried.add(target)
+                    if not may_retry(
+                        route,
+                        refusal,
+                        attempt=attempts,
+                        now=loop.time(),
+                        deadline=deadline,
+                        expected_s=usual_s(self.times, arrival.route),
+                        budget=self.budget,
+                    ):
+                        break
+                await asyncio.sleep(client_s)
+        except TimeoutError:
+            refusal = may_have_run(Reason.DEADLINE)
+        self.replay.done.append(
+            Done(
+                arrival,
+                refusal is None,
+                loop.time() - arrival.at,
+                target,
+                attempts,
+                refusal,
+                loop.time(),
+            )
+        )
+
+    async def _attempt(
+        self, chosen: Candidate, arrival: Arrival, deadline: float
+    ) -> Refusal | None:
+        replay = self.replay
+        hop_s = (0.0, replay.trace.fleet.hop_s / 3, replay.trace.fleet.hop_s)
+        long_work = arrival.work == "long" or (
+            arrival.work == "learned" and is_long(self.times, arrival.route)
+        )
+        ticket = Ticket(
+            "attempt",
+            arrival.route,
+            arrival.account,
+            arrival.priority,
+            long_work and replay.policy.reserve,
+            deadline,
+        )
+        admission = replay.admissions[chosen.target]
+        await asyncio.sleep(hop_s[chosen.distance])
+        async with replay.policy.open_slot(admission, ticket) as result:
+            if isinstance(result, Failure):
+                refusal: Refusal | None = result.failure()
+            else:
+                slot: SlotLike = result.unwrap()
+                refusal = await self._run(slot, chosen.target, arrival)
+        load = replay.policy.report(admission)
+        await asyncio.sleep(hop_s[chosen.distance])
+        if load is not None:
+            self.load_by_target[chosen.target] = load, replay.loop.time()
+        return refusal
+
+    async def _run(
+        self, slot: SlotLike, target: str, arrival: Arrival
+    ) -> Refusal | None:
+        replay = self.replay
+        started = replay.loop.time()
+        try:
+            answer = await replay.targets[target].run(arrival)
+        except asyncio.CancelledError:
+            answer = Answer(None, replay.loop.time() - started)
+            raise
+        finally:
+            slot.finish(answer.status, answer.service_s, answer.shed)
+            replay.hooks.on_answer(
+                Observation(replay.loop.time(), self.number, target, arrival, answer)
+            )
+        if answer.hard:
+            return not_run(Reason.TARGET_UNREACHABLE)
+        if answer.shed:
+            return not_run(Reason.TARGET_SHED)
+        if answer.status != 200:
+            return may_have_run(Reason.TARGET_RESET)
+        observe(self.times, arrival.route, answer.service_s)
+        return None
+
+
+def replay(
+    trace: Trace, *, policy: Policy = SISKINLUG, hooks: Hooks = NO_HOOKS, seed: int = 1
+) -> Replay:
+    """Play a trace in virtual time.
+
+    Args:
+        trace: Arrivals and faults.
+        policy: The rules; the daemon's own by default.
+        hooks: Where evidence and ejection attach.
+        seed: Seed of all random sources.
+
+    Returns:
+        The finished run with one ``Done`` for each arrival.
+    """
+
+    async def main() -> Replay:
+        run = Replay(trace, policy, hooks, seed)
+        await run.run()
+        return run
+
+    return run_virtual(main())
+
+
+def quantile(values: Iterable[float], share: float) -> float:
+    """Return a quantile by nearest rank; 0 of nothing."""
+    ordered = sorted(values)
+    return ordered[min(int(share * len(ordered)), len(ordered) - 1)] if ordered else 0.0
+
+
+def summarize(run: Replay) -> dict[str, float]:
+    """Return the measures that a trace may state bounds for."""
+    useful = [done for done in run.done if done.useful]
+    refused = [done.refusal for done in run.done if done.refusal is not None]
+    fleet = run.trace.fleet
+    return {
+        "arrivals": len(run.trace.arrivals),
+        "ended": len(run.done),
+        "useful": len(useful),
+        "refused_not_run": sum(r.verdict.value == "not-run" for r in refused),
+        "may_have_run": sum(r.verdict.value == "may-have-run" for r in refused),
+        "p99_ms": 1000 * quantile((d.latency_s for d in useful), 0.99),
+        "short_p99_ms": 1000
+        * quantile((d.latency_s for d in useful if d.arrival.work != "long"), 0.99),
+        "most_in_slots": max(t.most for t in run.targets.values()) / fleet.slots,
+        "left_running": sum(t.running for t in run.targets.values()),
+        "attempts": sum(done.attempts for done in run.done),
+        "runs": sum(t.runs for t in run.targets.values()),
+    }
+
+
+def check(run: Replay) -> list[str]:
+    """Return how a run departs from its trace's stated outcomes."""
+    found = summarize(run)
+    return [
+        f"{run.trace.name}: {key} is {found[key]:g}, stated {low:g} to {high:g}"
+        for key, (low, high) in run.trace.expect.items()
+        if not low <= found[key] <= high
+    ]
