Check a silent owner over a new connection before the deadline

Cause: a request on a connection that went silent waited for its whole timeout. Now the entry asks the owner, over a new connection, whether the attempt has arrived once the time to first byte passes its usual bound; a lost one is cancelled and tried elsewhere, long work goes on. The kernel ends connections that acknowledge nothing for 4 s. Ruled out: a shorter request timeout, which would cut long work.

--- a/siskinlug/attempts.py
+++ b/siskinlug/attempts.py
@@ -204,6 +204,13 @@
     attempts.finished.add(attempt, verdict)
 
 
+def state_of(attempts: Attempts, attempt: str) -> str:
+    """Return ``unknown``, ``running`` (also queued) or ``ended``."""
+    if attempt in attempts.started_by_attempt:
+        return "running"
+    return "unknown" if attempts.verdict(attempt) is None else "ended"
+
+
 def cancel(attempts: Attempts, attempt: str, incarnation: int) -> Verdict:
     """Cancel an attempt for an entry that lost its answer.
 
--- a/siskinlug/connections.py
+++ b/siskinlug/connections.py
@@ -16,6 +16,14 @@
 # longer, and a request lost on it would have to count as possibly run.
 NON_IDEMPOTENT_IDLE_MAX_S = 2.0
 IDLE_PER_PEER = 64
+# A connection that something between the ends has lost track of acknowledges nothing.
+# It ends about 4 s after that, also while it waits for the answer to long work.
+_TCP_OPTIONS = (
+    (socket.TCP_USER_TIMEOUT, 4000),
+    (socket.TCP_KEEPIDLE, 2),
+    (socket.TCP_KEEPINTVL, 1),
+    (socket.TCP_KEEPCNT, 2),
+)
 
 Address = tuple[str, int]
 
@@ -97,6 +105,13 @@
     return ConnectionPool(monotonic=monotonic)
 
 
+def _watch_peer(stream: IOStream) -> None:
+    """Have the kernel end a connection whose peer no longer acknowledges."""
+    for option, value in _TCP_OPTIONS:
+        stream.socket.setsockopt(socket.IPPROTO_TCP, option, value)
+    stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+
+
 @asynccontextmanager
 async def open_connection(
     pool: ConnectionPool,
@@ -133,6 +148,7 @@
             yield Failure(ConnectFailure(address, str(error) or "refused"))
             return
         stream.set_nodelay(True)
+        _watch_peer(stream)
     connection = Connection(stream, address, reused=reused)
     try:
         yield Success(connection)
--- a/siskinlug/entry.py
+++ b/siskinlug/entry.py
@@ -1,9 +1,11 @@
 """Entry role: match the route, pick a target, keep the deadline, give the verdict."""
 
+import asyncio
 import secrets
 from collections import deque
 from collections.abc import AsyncIterator, Awaitable, Callable, Mapping, Sequence
 from contextlib import asynccontextmanager
+from functools import partial
 from statistics import median
 from typing import NamedTuple
 
@@ -22,10 +24,19 @@
 from siskinlug.directory import Directory, NodeRecord, TargetRecord
 from siskinlug.exchange import Answer, RequestHead, end_to_end, exchange
 from siskinlug.inbound import Inbound, send_refusal, stream_answer
+from siskinlug.links import Links, link_up
 from siskinlug.load import LoadReport, decode_load
 from siskinlug.logs import log_event
 from siskinlug.metrics import Metrics
 from siskinlug.owner import AttemptRequest, Owner, load_of, open_attempt
+from siskinlug.paths import (
+    Paths,
+    first_byte_bound_s,
+    note_answer,
+    note_path_failure,
+    penalty_ms,
+    usable,
+)
 from siskinlug.quarantine import fingerprint_of
 from siskinlug.retries import (
     RetryBudget,
@@ -43,6 +54,9 @@
 DEADLINE_MARGIN_S = 0.005
 RECENT_SERVICE_TIMES = 64
 MIN_BASELINE_SAMPLES = 8
+ANSWER_GRACE_S = 0.2
+# A target behind a link whose last heartbeat failed is a last resort.
+LINK_DOWN_PENALTY_MS = 1000.0
 
 
 class Request(NamedTuple):
@@ -67,8 +81,20 @@
 
 
 Choose = Callable[[Sequence[Candidate]], Candidate | None]
-# From the owner, the attempt and the time it was sent to what became of it.
-CancelAttempt = Callable[[NodeRecord, str, float], Awaitable[Verdict]]
+
+
+class EntryPeers(NamedTuple):
+    """What an entry asks owners, each over a new connection.
+
+    Attributes:
+        cancel_attempt: From the owner, the attempt and the time it was sent to what
+            became of it.
+        attempt_state: From the owner and the attempt to ``unknown``, ``running`` or
+            ``ended``, or ``None`` if the owner did not answer.
+    """
+
+    cancel_attempt: Callable[[NodeRecord, str, float], Awaitable[Verdict]]
+    attempt_state: Callable[[NodeRecord, str], Awaitable[str | None]]
 
 
 class Entry:
@@ -82,8 +108,9 @@
         connections: ConnectionPool,
         tables: Callable[[], Tables],
         choose: Choose,
-        penalty_ms: Callable[[str, str], float],
-        cancel_attempt: CancelAttempt,
+        paths: Paths,
+        links: Links,
+        peers: EntryPeers,
         token: str,
         metrics: Metrics,
         monotonic: Callable[[], float],
@@ -95,8 +122,9 @@
         self.connections = connections
         self.tables = tables
         self.choose = choose
-        self.penalty_ms = penalty_ms
-        self.cancel_attempt = cancel_attempt
+        self.paths = paths
+        self.links = links
+        self.peers = peers
         self.token = token
         self.metrics = metrics
         self.monotonic = monotonic
@@ -348,10 +376,15 @@
                     slots=min(target.slots, pool.slots or target.slots),
                     load=load,
                     load_age_s=now - load_at,
-                    penalty_ms=entry.penalty_ms(node.node, route.name),
+                    penalty_ms=_path_penalty_ms(entry, node.node),
                 )
             )
-    return found
+    return usable(entry.paths, found, pool.floor_slots)
+
+
+def _path_penalty_ms(entry: Entry, node: str) -> float:
+    down = link_up(entry.links, node) is False
+    return penalty_ms(entry.paths, node) + (LINK_DOWN_PENALTY_MS if down else 0.0)
 
 
 def _load(
@@ -418,17 +451,26 @@
     )
     idle_s = IDLE_MAX_S if attempt.idempotent else NON_IDEMPOTENT_IDLE_MAX_S
     sent_at = entry.monotonic()
-    left_s = request.deadline - sent_at
+    left_s = max(0.0, request.deadline - sent_at)
+    address = (node.host, node.peer_port)
     async with open_connection(
-        entry.connections, (node.host, node.peer_port), max_idle_s=idle_s
+        entry.connections, address, max_idle_s=idle_s
     ) as connected:
         if isinstance(connected, Failure):
+            note_path_failure(entry.paths, node.node)
             yield Failure(not_run(Reason.PEER_UNREACHABLE, node.node))
             return
         async with exchange(
-            connected.unwrap(), head, inbound.body, first_byte_s=max(0.0, left_s)
+            connected.unwrap(),
+            head,
+            inbound.body,
+            first_byte_s=left_s,
+            check_after_s=first_byte_bound_s(entry.paths, attempt.route, left_s),
+            check=partial(_is_with_owner, entry, node, attempt.attempt),
         ) as result:
             if isinstance(result, Success):
+                took_s = entry.monotonic() - sent_at
+                note_answer(entry.paths, node.node, attempt.route, took_s)
                 yield _answer_or_refusal(entry, result.unwrap())
                 return
             cause = result.failure().cause
@@ -436,6 +478,23 @@
     yield Failure(await _settle(entry, node, attempt.attempt, sent_at, cause))
 
 
+async def _is_with_owner(entry: Entry, node: NodeRecord, attempt: str) -> bool:
+    """Ask over a new connection whether an attempt without an answer has arrived."""
+    state = await entry.peers.attempt_state(node, attempt)
+    if state is None:
+        note_path_failure(entry.paths, node.node)
+        # Without an answer nothing is known; the deadline bounds the wait.
+        return True
+    if state == "running":
+        return True
+    if state == "ended":
+        # The answer may be on its way.
+        await asyncio.sleep(ANSWER_GRACE_S)
+    # The new connection works and the old one lost the request or its answer.
+    entry.connections.drop_address((node.host, node.peer_port))
+    return False
+
+
 def attempt_headers(
     entry: Entry, attempt: AttemptRequest, headers: HTTPHeaders
 ) -> HTTPHeaders:
@@ -483,7 +542,9 @@
     """Ask the owner, over a new connection, what became of a lost attempt."""
     if cause == "body_cut":
         return may_have_run(Reason.CANCELLED)
-    verdict = await entry.cancel_attempt(node, attempt, sent_at)
+    if cause != "silent":
+        note_path_failure(entry.paths, node.node)
+    verdict = await entry.peers.cancel_attempt(node, attempt, sent_at)
     return Refusal(verdict, Reason.PEER_LOST, f"{node.node}: {cause}")
 
 
--- a/siskinlug/exchange.py
+++ b/siskinlug/exchange.py
@@ -1,7 +1,8 @@
 """One HTTP/1.1 exchange on one connection, streamed in both directions."""
 
 import asyncio
-from collections.abc import AsyncIterator
+import math
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, suppress
 from typing import NamedTuple
 
@@ -136,6 +137,8 @@
     body: BodyStream,
     *,
     first_byte_s: float,
+    check_after_s: float = math.inf,
+    check: Callable[[], Awaitable[bool]] | None = None,
 ) -> AsyncIterator[Result[Answer, ExchangeFailure]]:
     """Send a request and wait for the head of its answer.
 
@@ -146,6 +149,9 @@
         head: The request without hop-by-hop headers.
         body: The request's body.
         first_byte_s: Time for the answer's head, in seconds.
+        check_after_s: Time after which, without a head, ``check`` is asked, and again
+            each time twice as long after the last one.
+        check: Whether to wait on; false ends the exchange as ``silent``.
 
     Yields:
         The answer, or why there is none and whether the request was written.
@@ -163,7 +169,9 @@
     sending = asyncio.ensure_future(_send(codec, head, body))
     reading = asyncio.ensure_future(_read(codec, delegate))
     try:
-        result = await _first_of(delegate, sending, reading, first_byte_s)
+        result = await _first_of(
+            delegate, sending, reading, first_byte_s, check_after_s, check
+        )
         yield result
         if isinstance(result, Success):
             answer = result.unwrap()
@@ -183,12 +191,28 @@
     sending: asyncio.Future[None],
     reading: asyncio.Future[None],
     first_byte_s: float,
+    check_after_s: float,
+    check: Callable[[], Awaitable[bool]] | None,
 ) -> Result[Answer, ExchangeFailure]:
     """Wait for the answer's head, the end of the connection or the time limit."""
     waiting: set[asyncio.Future] = {delegate.head, reading}
-    await asyncio.wait(
-        waiting, timeout=first_byte_s, return_when=asyncio.FIRST_COMPLETED
-    )
+    loop = asyncio.get_running_loop()
+    limit = loop.time() + first_byte_s
+    if check is not None and check_after_s < first_byte_s:
+        while loop.time() + check_after_s < limit:
+            done, _ = await asyncio.wait(
+                waiting, timeout=check_after_s, return_when=asyncio.FIRST_COMPLETED
+            )
+            if done or not await check():
+                limit = loop.time()
+                break
+            check_after_s *= 2
+    if not delegate.head.done() and not reading.done():
+        await asyncio.wait(
+            waiting,
+            timeout=max(0.0, limit - loop.time()),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
     if delegate.head.done():
         return Success(delegate.head.result())
     if sending.done() and isinstance(sending.exception(), BodyCut):
--- a/siskinlug/messages.py
+++ b/siskinlug/messages.py
@@ -133,6 +133,18 @@
     verdict: str
 
 
+class AttemptQuery(TypedDict):
+    """Ask an owner whether an attempt has arrived (``POST /peer/attempts/state``)."""
+
+    attempt: str
+
+
+class AttemptState(TypedDict):
+    """``unknown``, ``running`` (also queued) or ``ended``."""
+
+    state: str
+
+
 def encode(message: Any) -> bytes:
     """Encode a message as JSON."""
     return msgspec.json.encode(message)
--- a/siskinlug/node.py
+++ b/siskinlug/node.py
@@ -26,7 +26,7 @@
     OwnedTargets,
     accept_announcement,
 )
-from siskinlug.attempts import cancel, confirm, make_attempts
+from siskinlug.attempts import cancel, confirm, make_attempts, state_of
 from siskinlug.choice import make_choice
 from siskinlug.clock import HybridClock, wall_clock_ms
 from siskinlug.config_sync import (
@@ -39,7 +39,7 @@
 from siskinlug.connections import make_pool
 from siskinlug.directory import NodeRecord
 from siskinlug.ejection import answer_promises
-from siskinlug.entry import Entry, serve_caller
+from siskinlug.entry import Entry, EntryPeers, serve_caller
 from siskinlug.inbound import InboundLimits, InboundServer, drain_server, open_server
 from siskinlug.log_client import open_log
 from siskinlug.logs import log_event
@@ -56,6 +56,8 @@
 from siskinlug.messages import (
     Announcement,
     AnnouncementAnswer,
+    AttemptQuery,
+    AttemptState,
     CancelAnswer,
     CancelRequest,
     Position,
@@ -64,6 +66,7 @@
 )
 from siskinlug.metrics import make_metrics
 from siskinlug.owner import Owner
+from siskinlug.paths import make_paths
 from siskinlug.peer_client import call_peer, make_peer_client
 from siskinlug.peer_server import MAX_MESSAGE_BYTES, Handler, make_peer_server
 from siskinlug.promises import PromiseAnswer, PromiseRequest
@@ -148,8 +151,9 @@
             connections=self.connections,
             tables=self.tables,
             choose=make_choice(random=random),
-            penalty_ms=lambda node, route: 0.0,
-            cancel_attempt=self._cancel_attempt,
+            paths=make_paths(monotonic=self.monotonic),
+            links=self.membership.links,
+            peers=EntryPeers(self._cancel_attempt, self._attempt_state),
             token=settings.token,
             metrics=self.metrics,
             monotonic=self.monotonic,
@@ -214,6 +218,19 @@
         verdict = Verdict(result.unwrap()["verdict"])
         return confirm(verdict, sent_at=sent_at, answered_at=self.monotonic())
 
+    async def _attempt_state(self, peer: NodeRecord, attempt: str) -> str | None:
+        """Ask an owner over a new connection whether an attempt has arrived."""
+        result = await call_peer(
+            self.peer_client,
+            (peer.host, peer.peer_port),
+            "/peer/attempts/state",
+            AttemptQuery(attempt=attempt),
+            AttemptState,
+            timeout_s=CANCEL_TIMEOUT_S,
+            fresh=True,
+        )
+        return result.unwrap()["state"] if isinstance(result, Success) else None
+
 
 def _address(text: str) -> tuple[str, int]:
     host, _, port = text.rpartition(":")
@@ -338,7 +355,11 @@
     async def promise(message: PromiseRequest) -> PromiseAnswer:
         return answer_promises(node.watch.ejection_by_target, message)
 
+    async def attempt_state(message: AttemptQuery) -> AttemptState:
+        return AttemptState(state=state_of(node.attempts, message["attempt"]))
+
     handler_by_path = {
+        "/peer/attempts/state": _message_handler(AttemptQuery, attempt_state),
         CONFIGURATION_PATH: configuration,
         PROMISES_PATH: _message_handler(PromiseRequest, promise),
         "/announce": _message_handler(Announcement, announce),
