--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,195 @@
+"""Quarantine: crash-causing requests are stopped, innocent ones are not."""
+
+import asyncio
+import random
+
+import testtools
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools.matchers import Equals
+
+from bench.virtual_time import run_virtual
+from siskinlug.body import bytes_body
+from siskinlug.quarantine import (
+    Quarantine,
+    ResetWatch,
+    Suspicion,
+    TargetRuns,
+    fingerprint_of,
+    known_suspicions,
+    make_quarantine,
+    merge,
+    note_crash,
+    note_reset,
+    note_survived,
+    resolve_reset,
+    run_beside,
+    standing,
+)
+
+_FINGERPRINTS = ["f0", "f1"]
+_SUSPICIONS = st.lists(
+    st.builds(
+        Suspicion,
+        st.sampled_from(_FINGERPRINTS),
+        st.sampled_from([f"t@{n}" for n in range(12)]),
+        st.sampled_from([0.0, 5.0, 700.0]),
+        st.booleans(),
+        st.booleans(),
+    ),
+    min_size=12,
+    max_size=40,
+)
+
+
+def _held(quarantine: Quarantine) -> dict[str, object]:
+    return {f: dict(c) for f, c in quarantine.crashes_by_fingerprint.items() if c}
+
+
+def _new() -> Quarantine:
+    return make_quarantine(monotonic=lambda: 1000.0)
+
+
+class QuarantineTest(testtools.TestCase):
+    @given(_SUSPICIONS, st.randoms(use_true_random=False))
+    def test_suspicions_converge_in_any_order(
+        self, suspicions: list[Suspicion], rng: random.Random
+    ) -> None:
+        """Guards against nodes that differ after the same suspicions."""
+        first, second = _new(), _new()
+        for suspicion in suspicions:
+            merge(first, [suspicion])
+        shuffled = suspicions + rng.choices(suspicions, k=5) if suspicions else []
+        rng.shuffle(shuffled)
+        while shuffled:
+            size = rng.randint(1, 4)
+            merge(second, [list(s) for s in shuffled[:size]])
+            del shuffled[:size]
+        self.assertThat(_held(second), Equals(_held(first)))
+
+    @given(st.integers(0, 3), st.integers(1, 4), st.randoms(use_true_random=False))
+    def test_only_the_culprit_is_refused(
+        self, delay: int, innocents: int, rng: random.Random
+    ) -> None:
+        """A resent culprit beside frequent requests, with suspicions spread late.
+
+        Guards against a frequent request that is refused because it was in flight
+        at two crashes, and against a culprit that is never refused.
+        """
+        nodes = [_new() for _ in range(3)]
+        late: list[tuple[int, Suspicion]] = []
+        crashes = 0
+        others = [f"innocent-{n}" for n in range(innocents)]
+        for step in range(40):
+            for due, suspicion in late:
+                if due == step:
+                    for node in nodes:
+                        merge(node, [suspicion])
+            node = rng.choice(nodes)
+            if standing(node, "culprit") == "refused":
+                continue
+            running = {"culprit"}
+            if standing(node, "culprit") == "clear":
+                running |= {f for f in others if standing(node, f) == "clear"}
+            crashes += 1
+            new = note_crash(node, f"t@{step}", running)
+            late += [(step + delay + 1, suspicion) for suspicion in new]
+        for node in nodes:
+            assert standing(node, "culprit") == "refused"
+            assert all(standing(node, f) != "refused" for f in others)
+        assert crashes <= 3 + delay + 1
+
+    def test_a_survivor_is_cleared_everywhere(self) -> None:
+        """Guards against a frequent request that runs alone for ten minutes."""
+        here, there = _new(), _new()
+        merge(there, note_crash(here, "t@1", ["a", "b"]))
+        self.assertThat(standing(there, "a"), Equals("suspect"))
+        merge(there, note_survived(here, "a"))
+        merge(there, [Suspicion("a", "t@1", 0.0, False)])
+        self.assertThat(standing(there, "a"), Equals("clear"))
+        self.assertThat(standing(there, "b"), Equals("suspect"))
+
+    def test_a_later_report_of_a_crash_accuses_nobody_of_being_alone(self) -> None:
+        """Guards against a shrunken list of one crash that looks like a lone run."""
+        quarantine = _new()
+        note_crash(quarantine, "t@1", ["a", "b"])
+        note_crash(quarantine, "t@1", ["b"])
+        note_crash(quarantine, "t@2", ["a", "b"])
+        self.assertThat(standing(quarantine, "b"), Equals("suspect"))
+
+    def test_suspicions_expire_and_memory_is_bounded(self) -> None:
+        now = [0.0]
+        quarantine = make_quarantine(
+            monotonic=lambda: now[0], keep_s=60.0, max_suspicions=10
+        )
+        for crash in ("t@1", "t@2"):
+            note_crash(quarantine, crash, ["bad"])
+        for number in range(100):
+            note_crash(quarantine, f"u@{number}", [f"f{number}", "x"])
+        self.assertThat(quarantine.count <= 10, Equals(True))
+        self.assertThat(standing(quarantine, "bad"), Equals("refused"))
+        self.assertThat(len(known_suspicions(quarantine, limit=4)) <= 11, Equals(True))
+        now[0] = 61.0
+        self.assertThat(standing(quarantine, "bad"), Equals("clear"))
+        note_crash(quarantine, "v@1", ["y"])
+        self.assertThat(quarantine.count, Equals(1))
+
+    def test_a_reset_without_a_crash_accuses_nobody(self) -> None:
+        """Guards against a target that cuts answers and quarantines its callers."""
+        now = [0.0]
+        watch = ResetWatch(monotonic=lambda: now[0])
+        note_reset(watch, "t", 7, ["a", "b"])
+        note_reset(watch, "t", 7, ["b"])
+        self.assertIs(resolve_reset(watch, "t", 7), None)
+        self.assertThat(resolve_reset(watch, "t", 8), Equals(("t@7", ["a", "b"])))
+        note_reset(watch, "t", 8, ["a"])
+        now[0] = 1.0
+        self.assertIs(resolve_reset(watch, "t", 8), None)
+        self.assertIs(resolve_reset(watch, "t", None), None)
+
+    def test_fingerprints(self) -> None:
+        """Guards against fields that run into each other, and against ignored ones."""
+        prints = [
+            fingerprint_of("", "GET", "/a", b""),
+            fingerprint_of("", "GET", "/b", b""),
+            fingerprint_of("", "GE", "T/a", b""),
+            fingerprint_of("", "GET", "/a", b"x"),
+            fingerprint_of("k", "GET", "/a", b""),
+        ]
+        self.assertThat(len(set(prints)), Equals(5))
+        self.assertThat(fingerprint_of("k", "PUT", "/b", b"y"), Equals(prints[4]))
+        stream = bytes_body(b"x")
+        self.assertThat(fingerprint_of("", "GET", "/a", stream), Equals(prints[3]))
+
+
+class RunAloneTest(testtools.TestCase):
+    def test_a_suspect_runs_alone_on_a_busy_target(self) -> None:
+        """Guards against a second crash with two possible causes, and starvation."""
+        quarantine = _new()
+        note_crash(quarantine, "t@1", ["bad", "other"])
+        runs = TargetRuns()
+        beside_suspect: list[int] = []
+        ran: list[str] = []
+
+        async def request(number: int, fingerprint: str) -> None:
+            await asyncio.sleep(number * 0.01)
+            async with run_beside(
+                quarantine, runs, f"{number}", fingerprint, wait_s=0.3
+            ) as may:
+                if not may:
+                    return
+                ran.append(fingerprint)
+                prints = list(runs.fingerprint_by_attempt.values())
+                if "bad" in prints:
+                    beside_suspect.append(len(prints))
+                await asyncio.sleep(0.05)
+
+        async def main() -> None:
+            load = [request(n, "bad" if n % 10 == 5 else "good") for n in range(60)]
+            await asyncio.gather(*load)
+
+        run_virtual(main())
+        self.assertThat(set(beside_suspect), Equals({1}))
+        self.assertThat(ran.count("bad"), Equals(6))
+        self.assertThat(ran.count("good"), Equals(54))
+        self.assertThat(runs.fingerprint_by_attempt, Equals({}))
