Find and isolate requests that crash targets

A reset counts as a crash only when the target then refuses connections, loses its lease or announces a new incarnation; what was in flight becomes suspect, spreads by push, and runs alone from then on.

--- a/siskinlug/connections.py
+++ b/siskinlug/connections.py
@@ -1,5 +1,6 @@
 """Connection pool over tornado streams, with the age of each connection known."""
 
+import socket
 from collections import deque
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
--- a/siskinlug/node.py
+++ b/siskinlug/node.py
@@ -65,12 +65,17 @@
     encode,
 )
 from siskinlug.metrics import make_metrics
-from siskinlug.owner import Owner
+from siskinlug.owner import Owner, note_incarnation
 from siskinlug.paths import make_paths
 from siskinlug.peer_client import call_peer, make_peer_client
 from siskinlug.peer_server import MAX_MESSAGE_BYTES, Handler, make_peer_server
 from siskinlug.promises import PromiseAnswer, PromiseRequest
-from siskinlug.quarantine import make_quarantine
+from siskinlug.quarantine import (
+    Suspicion,
+    known_suspicions,
+    make_quarantine,
+    merge,
+)
 from siskinlug.service_times import make_service_times
 from siskinlug.settings import Settings
 from siskinlug.supervisor import supervise
@@ -117,6 +122,7 @@
             quarantine=self.quarantine,
             connections=self.connections,
             is_ejected=lambda target, route: is_ejected(self.watch, target, route),
+            on_suspicions=lambda: push_payload(self.membership, "suspicions"),
             monotonic=self.monotonic,
         )
         self.configuration = make_configuration(
@@ -141,7 +147,13 @@
                     read=lambda peer, position: note_position(
                         self.configuration, peer, position
                     ),
-                )
+                ),
+                Payload(
+                    name="suspicions",
+                    value_type=list[Suspicion],
+                    write=lambda _urgent: known_suspicions(self.quarantine) or None,
+                    read=lambda _peer, received: bool(merge(self.quarantine, received)),
+                ),
             ],
         )
         self.watch = _make_watch(self)
@@ -274,6 +286,7 @@
     if not known:
         detail = f"{message['service']}, {message['slots']} slots"
         record(node.timeline, Kind.TARGET_ANNOUNCED, message["target"], detail)
+    note_incarnation(node.owner, message["target"], message["incarnation"])
     publish_targets(node.watch)
     return accepted.unwrap()
 
@@ -329,6 +342,7 @@
         random=node.random,
         ejection_by_target={},
         task_by_target={},
+        on_expired=lambda target: note_incarnation(node.owner, target, None),
     )
 
 
--- a/siskinlug/owner.py
+++ b/siskinlug/owner.py
@@ -30,7 +30,19 @@
     has_length,
 )
 from siskinlug.load import LoadReport
-from siskinlug.quarantine import Quarantine, standing
+from siskinlug.quarantine import (
+    CLEAR,
+    REFUSED,
+    Quarantine,
+    ResetWatch,
+    TargetRuns,
+    note_crash,
+    note_reset,
+    note_survived,
+    resolve_reset,
+    run_beside,
+    standing,
+)
 from siskinlug.verdict import Reason, Refusal, Verdict, may_have_run, not_run
 
 # Header by which a target says that it shed a request without starting it.
@@ -85,6 +97,7 @@
         quarantine: Quarantine,
         connections: ConnectionPool,
         is_ejected: Callable[[str, str], bool],
+        on_suspicions: Callable[[], object],
         monotonic: Callable[[], float],
     ) -> None:
         self.targets = targets
@@ -94,8 +107,23 @@
         self.is_ejected = is_ejected
         self.monotonic = monotonic
         self.leaving = False
-        self.fingerprints_by_target: dict[str, dict[str, str]] = {}
-        self.on_crash: Callable[[str, list[str]], None] = lambda _target, _prints: None
+        self.on_suspicions = on_suspicions
+        self.resets = ResetWatch(monotonic=monotonic)
+        self.runs_by_target: dict[str, TargetRuns] = {}
+
+
+def note_incarnation(owner: Owner, target: str, incarnation: int | None) -> None:
+    """Find out whether connections that were reset mean that a target crashed.
+
+    Args:
+        owner: The owner role.
+        target: Target id.
+        incarnation: What has just announced itself, or ``None`` if the target refuses
+            connections or its lease has expired.
+    """
+    crash = resolve_reset(owner.resets, target, incarnation)
+    if crash is not None and note_crash(owner.quarantine, *crash):
+        owner.on_suspicions()
 
 
 def load_of(owner: Owner, target: str) -> LoadReport | None:
@@ -153,7 +181,7 @@
                 return
             # From here on the request may run, also if this task is cancelled.
             ended = Verdict.MAY_HAVE_RUN
-            async with _run(owner, request, owned, slot, head, body) as result:
+            async with _run_beside(owner, request, owned, slot, head, body) as result:
                 if isinstance(result, Success):
                     ended = Verdict.RAN
                 else:
@@ -186,16 +214,8 @@
 
 
 def _quarantine_refusal(owner: Owner, request: AttemptRequest) -> Refusal | None:
-    known = standing(owner.quarantine, request.fingerprint)
-    if known == "refused":
+    if standing(owner.quarantine, request.fingerprint) == REFUSED:
         return not_run(Reason.QUARANTINED, "the request crashed two targets")
-    running = owner.fingerprints_by_target.get(request.target, {})
-    others = [
-        standing(owner.quarantine, fingerprint) for fingerprint in running.values()
-    ]
-    if (known == "suspect" and others) or "suspect" in others:
-        # A suspect runs alone, so that a second crash has one possible cause.
-        return not_run(Reason.QUEUE_FULL, "a suspect request runs alone")
     return None
 
 
@@ -215,6 +235,28 @@
     return _quarantine_refusal(owner, request)
 
 
+@asynccontextmanager
+async def _run_beside(
+    owner: Owner,
+    request: AttemptRequest,
+    owned: Owned,
+    slot: Slot,
+    head: RequestHead,
+    body: BodyStream,
+) -> AsyncIterator[Result[Answer, Refusal]]:
+    """Run an attempt, alone on its target if it is suspected of a crash."""
+    runs = owner.runs_by_target.setdefault(request.target, TargetRuns())
+    async with run_beside(
+        owner.quarantine, runs, request.attempt, request.fingerprint
+    ) as may_run:
+        if not may_run:
+            slot.finish(status=None, service_s=0.0, shed=False)
+            yield Failure(not_run(Reason.QUEUE_FULL, "a suspect request runs alone"))
+            return
+        async with _run(owner, request, owned, slot, head, body) as result:
+            yield result
+
+
 @asynccontextmanager
 async def _run(
     owner: Owner,
@@ -236,6 +278,7 @@
         if isinstance(connected, Failure):
             slot.finish(status=None, service_s=0.0, shed=False)
             _observe(owner, request, owned, ok=False, hard=True, service_s=0.0)
+            note_incarnation(owner, request.target, None)
             detail = f"{request.target}: {connected.failure().cause}"
             yield Failure(not_run(Reason.TARGET_UNREACHABLE, detail))
             return
@@ -249,33 +292,51 @@
             connection.reusable = True
             yield Failure(not_run(Reason.CANCELLED, "cancelled by its entry"))
             return
-        running = owner.fingerprints_by_target.setdefault(request.target, {})
-        running[request.attempt] = request.fingerprint
-        try:
-            async with _exchange(owner, request, connection, head, body) as result:
-                if isinstance(result, Failure):
-                    yield Failure(_lost(owner, request, owned, slot, result.failure()))
-                    return
-                answer = result.unwrap()
-                if answer.status == 503 and answer.headers.get(SHED_HEADER):
-                    slot.finish(status=503, service_s=0.0, shed=True)
-                    yield Failure(not_run(Reason.TARGET_SHED, request.target))
-                    return
-                # Time to the head: the rest may wait for a slow caller.
-                service_s = owner.monotonic() - started_at
-                answer.headers["Siskinlug-Service-Ms"] = f"{service_s * 1000:.2f}"
+        async with _exchange(owner, request, connection, head, body) as result:
+            if isinstance(result, Failure):
+                yield Failure(_lost(owner, request, owned, slot, result.failure()))
+                return
+            answer = result.unwrap()
+            if answer.status == 503 and answer.headers.get(SHED_HEADER):
+                slot.finish(status=503, service_s=0.0, shed=True)
+                yield Failure(not_run(Reason.TARGET_SHED, request.target))
+                return
+            # Time to the head: the rest may wait for a slow caller.
+            service_s = owner.monotonic() - started_at
+            answer.headers["Siskinlug-Service-Ms"] = f"{service_s * 1000:.2f}"
+            try:
                 yield Success(answer)
-                slot.finish(status=answer.status, service_s=service_s, shed=False)
-                _observe(
-                    owner,
-                    request,
-                    owned,
-                    ok=answer.status < 500 and not answer.body.cut,
-                    hard=answer.body.cut,
-                    service_s=service_s,
-                )
-        finally:
-            running.pop(request.attempt, None)
+            finally:
+                if answer.body.whole or answer.body.cut:
+                    _note_answered(owner, request, owned, slot, answer, service_s)
+
+
+def _note_answered(
+    owner: Owner,
+    request: AttemptRequest,
+    owned: Owned,
+    slot: Slot,
+    answer: Answer,
+    service_s: float,
+) -> None:
+    slot.finish(status=answer.status, service_s=service_s, shed=False)
+    cut = answer.body.cut
+    ok = answer.status < 500 and not cut
+    if cut:
+        _note_possible_crash(owner, request, owned)
+    elif ok and standing(owner.quarantine, request.fingerprint) != CLEAR:
+        note_survived(owner.quarantine, request.fingerprint)
+        owner.on_suspicions()
+    _observe(owner, request, owned, ok=ok, hard=cut, service_s=service_s)
+
+
+def _note_possible_crash(owner: Owner, request: AttemptRequest, owned: Owned) -> None:
+    note_reset(
+        owner.resets,
+        request.target,
+        owned.announcement["incarnation"],
+        owner.runs_by_target[request.target].fingerprint_by_attempt.values(),
+    )
 
 
 @asynccontextmanager
@@ -321,8 +382,7 @@
     if failure.cause != "body_cut":
         _observe(owner, request, owned, ok=False, hard=True, service_s=0.0)
     if failure.cause == "reset":
-        running = owner.fingerprints_by_target.get(request.target, {})
-        owner.on_crash(request.target, list(running.values()))
+        _note_possible_crash(owner, request, owned)
     reason = _REASON_BY_CAUSE[failure.cause]
     if failure.cause == "silent" and late:
         reason = Reason.DEADLINE
--- a/siskinlug/watch.py
+++ b/siskinlug/watch.py
@@ -51,6 +51,7 @@
         random: Random source of the ejections.
         ejection_by_target: Ejection state of each owned target.
         task_by_target: The task that runs it.
+        on_expired: Called with each target whose lease has expired.
     """
 
     targets: OwnedTargets
@@ -64,6 +65,7 @@
     random: Random
     ejection_by_target: dict[str, Ejection]
     task_by_target: dict[str, asyncio.Task[None]]
+    on_expired: Callable[[str], None]
 
 
 def is_ejected(watch: Watch, target: str, route: str) -> bool:
@@ -88,6 +90,7 @@
             for target in drop_expired(watch.targets):
                 detail = f"no renewal for {LEASE_S:g} s"
                 record(watch.timeline, Kind.TARGET_LEASE_LAPSED, target, detail)
+                watch.on_expired(target)
             _match_tasks(watch)
             publish_targets(watch)
             await asyncio.sleep(LEASE_CHECK_S)
