--- a/siskinlug/entry.py
+++ b/siskinlug/entry.py
@@ -3,7 +3,14 @@
 import asyncio
 import secrets
 from collections import deque
-from collections.abc import AsyncIterator, Awaitable, Callable, Mapping, Sequence
+from collections.abc import (
+    AsyncIterator,
+    Awaitable,
+    Callable,
+    Iterable,
+    Mapping,
+    Sequence,
+)
 from contextlib import asynccontextmanager
 from functools import partial
 from statistics import median
@@ -358,30 +365,42 @@
     now = entry.monotonic()
     own = entry.directory.own
     found = []
-    for node in entry.directory.alive():
-        if node.state != "alive":
+    for node, target in _members(entry.directory, pool):
+        if node.state != "alive" or target.state != "ready":
             continue
-        for target in node.targets:
-            if not belongs(pool, node, target) or target.state != "ready":
-                continue
-            if "*" in target.ejected or route.name in target.ejected:
-                continue
-            load, load_at = _load(entry, node, target, now)
-            found.append(
-                Candidate(
-                    target=target.target,
-                    node=node.node,
-                    distance=distance(own, node),
-                    weight=pool.weight_by_domain.get(node.failure_domain, 1.0),
-                    slots=min(target.slots, pool.slots or target.slots),
-                    load=load,
-                    load_age_s=now - load_at,
-                    penalty_ms=_path_penalty_ms(entry, node.node),
-                )
+        if "*" in target.ejected or route.name in target.ejected:
+            continue
+        load, load_at = _load(entry, node, target, now)
+        found.append(
+            Candidate(
+                target=target.target,
+                node=node.node,
+                distance=distance(own, node),
+                weight=pool.weight_by_domain.get(node.failure_domain, 1.0),
+                slots=min(target.slots, pool.slots or target.slots),
+                load=load,
+                load_age_s=now - load_at,
+                penalty_ms=_path_penalty_ms(entry, node.node),
             )
+        )
     return usable(entry.paths, found, pool.floor_slots)
 
 
+def _members(
+    directory: Directory, pool: Pool
+) -> Iterable[tuple[NodeRecord, TargetRecord]]:
+    """Return the targets of a pool, each at the owner it moved to last."""
+    newest_by_target: dict[str, tuple[NodeRecord, TargetRecord]] = {}
+    for node in directory.alive():
+        for target in node.targets:
+            if not belongs(pool, node, target):
+                continue
+            held = newest_by_target.get(target.target)
+            if held is None or target.epoch > held[1].epoch:
+                newest_by_target[target.target] = (node, target)
+    return newest_by_target.values()
+
+
 def _path_penalty_ms(entry: Entry, node: str) -> float:
     down = link_up(entry.links, node) is False
     return penalty_ms(entry.paths, node) + (LINK_DOWN_PENALTY_MS if down else 0.0)
--- a/standins/target.py
+++ b/standins/target.py
@@ -19,6 +19,7 @@
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
 from tornado.iostream import StreamClosedError
 from tornado.netutil import bind_sockets
+from tornado.tcpclient import TCPClient
 
 from siskinlug.messages import Announcement, AnnouncementAnswer, decode, encode
 
@@ -231,6 +232,26 @@
         return _Received(True)
 
 
+async def _return_home(target: Target) -> bool:
+    """Move back to the node beside the target once it listens again."""
+    home = target.options.announce
+    if target.owner == home or target.state != "ready":
+        return False
+    host, _, port = home.rpartition(":")
+    try:
+        stream = await TCPClient().connect(host, int(port), timeout=RENEW_TIMEOUT_S)
+    except (OSError, StreamClosedError, TimeoutError):
+        return False
+    stream.close()
+    # The owner that is left must not write requests for the rest of its lease.
+    target.state = "leaving"
+    await _announce(target, target.owner)
+    target.state = "ready"
+    target.owner = home
+    target.epoch += 1
+    return True
+
+
 async def _keep_announced(target: Target) -> None:
     """Renew each interval, and move to another owner after the lease (section 2.1)."""
     lease_s = 3.0
@@ -247,6 +268,13 @@
             last_possible = time.monotonic()
             lease_s = outcome["lease_s"]
             target.alternatives = outcome["alternatives"]
+            if lease_s == 0.0 and target.alternatives:
+                # The owner is leaving and holds no lease.
+                target.owner = target.alternatives.pop(0)
+                target.epoch += 1
+                continue
+            if await _return_home(target):
+                continue
         if failures >= RENEWALS_BEFORE_MOVE and target.alternatives:
             await asyncio.sleep(max(0.0, last_possible + lease_s - time.monotonic()))
             target.alternatives.append(target.owner)
--- /dev/null
+++ b/tests/fleet_load.py
@@ -0,0 +1,122 @@
+"""Load on a fleet of processes while a test disturbs it, with checked answers."""
+
+import asyncio
+import threading
+from collections import Counter
+from collections.abc import Callable, Iterator, Sequence
+from contextlib import contextmanager
+
+from bench.fleet import CALLER_PORT, Fleet, NodeSpec, TargetSpec
+from standins.caller import Call, CallResult, run_open_loop
+
+DOMAINS = ("domain-1", "domain-2", "domain-3")
+SLOTS = 4
+TARGET_PORT = 9001
+POOLS = "[work]\nservice = work\nfloor_slots = 4\nqueue = 64\n"
+ROUTES = """
+[read]
+path_prefix = /read
+methods = GET
+pool = work
+timeout_s = 5
+idempotent = yes
+
+[book]
+path_prefix = /book
+methods = POST
+pool = work
+timeout_s = 5
+"""
+
+
+class Load:
+    """Results of a load that runs in a thread."""
+
+    def __init__(self) -> None:
+        self.results: list[CallResult] = []
+        self.thread: threading.Thread | None = None
+
+    def wait(self) -> list[CallResult]:
+        """Wait for the end of the load and return all results."""
+        assert self.thread is not None
+        self.thread.join()
+        return self.results
+
+    def wrong(self) -> list[str]:
+        """Return what was wrong with answers."""
+        return [f"{r.request_id}: {r.wrong}" for r in self.results if r.wrong]
+
+    def by_outcome(self) -> Counter[str]:
+        """Return counts by status, reason and verdict."""
+        return Counter(f"{r.status} {r.reason} {r.verdict}" for r in self.results)
+
+
+def booking(number: int) -> Call:
+    """Return a request that must run at most once."""
+    return Call(method="POST", path="/book", body=b"x" * 40, service_ms=20)
+
+
+def reading(number: int) -> Call:
+    """Return an idempotent request."""
+    return Call(path="/read", service_ms=5)
+
+
+def start_load(
+    fleet: Fleet,
+    nodes: Sequence[int],
+    call_of: Callable[[int], Call],
+    *,
+    rate: float,
+    seconds: float,
+    prefix: str,
+) -> Load:
+    """Send to several entries at a rate each, in a thread of its own."""
+    load = Load()
+
+    async def run() -> None:
+        await asyncio.gather(
+            *(
+                run_open_loop(
+                    (fleet.host(node), CALLER_PORT),
+                    call_of,
+                    rate=rate,
+                    seconds=seconds,
+                    prefix=f"{prefix}-{node}",
+                    observe=load.results.append,
+                )
+                for node in nodes
+            )
+        )
+
+    load.thread = threading.Thread(target=lambda: asyncio.run(run()))
+    load.thread.start()
+    return load
+
+
+def start_small_fleet(fleet: Fleet, *, nodes: int = 3) -> None:
+    """Start the log, the nodes and a target beside each, with tables in force."""
+    fleet.start_log()
+    for number in range(1, nodes + 1):
+        fleet.start_node(NodeSpec(number, DOMAINS[number % len(DOMAINS)]))
+        target = TargetSpec(f"work-{number}", "work", SLOTS, number)
+        fleet.start_target(target, port=TARGET_PORT)
+    fleet.wait_joined(targets=nodes)
+    fleet.put_tables(pools=POOLS, routes=ROUTES)
+
+
+def runs_by_request(fleet: Fleet, targets: Sequence[int]) -> Counter[str]:
+    """Return how often each request id has run at the targets that are up."""
+    runs: Counter[str] = Counter()
+    for number in targets:
+        page = fleet.target(number, TARGET_PORT, "/control/runs")
+        runs.update(page["by_request"])
+    return runs
+
+
+@contextmanager
+def under_load(load: Load) -> Iterator[Load]:
+    """Wait for the load also when the block fails."""
+    try:
+        yield load
+    finally:
+        load.wait()
