Pass over targets that could take no request, outside the retry budget

Cause: after a target was killed, its load report still showed free slots and drew requests, each refused connection spent the retry budget, and 59 of 450 reads got 502 although two other targets were free (found by test_kill_of_a_target_fails_only_what_it_ran). An unreachable target did no work, so such attempts now spend no budget and the target is passed over for 1 s.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -261,6 +261,10 @@
         """Return a page of a node's admin port."""
         return call(self.host(node), ADMIN_PORT, "GET", path).json()
 
+    def target(self, node: int, port: int, path: str) -> Any:
+        """Return a control page of the target beside a node."""
+        return call(self.host(node), port, "GET", path).json()
+
     def request(self, node: int, method: str, path: str, **options: Any) -> Reply:
         """Send a request as a caller of a node."""
         return call(self.host(node), CALLER_PORT, method, path, **options)
--- a/siskinlug/entry.py
+++ b/siskinlug/entry.py
@@ -46,6 +46,7 @@
 )
 from siskinlug.quarantine import fingerprint_of
 from siskinlug.retries import (
+    FREE_REASONS,
     RetryBudget,
     make_retry_budget,
     may_retry,
@@ -62,6 +63,7 @@
 RECENT_SERVICE_TIMES = 64
 MIN_BASELINE_SAMPLES = 8
 ANSWER_GRACE_S = 0.2
+AVOID_S = 1.0
 # A target behind a link whose last heartbeat failed is a last resort.
 LINK_DOWN_PENALTY_MS = 1000.0
 
@@ -140,6 +142,7 @@
         self.load_by_target: dict[str, tuple[LoadReport, float]] = {}
         self.budget_by_pool: dict[str, RetryBudget] = {}
         self.recent_by_route: dict[str, deque[float]] = {}
+        self.avoid_until_by_target: dict[str, float] = {}
         self.count = 0
 
 
@@ -300,6 +303,7 @@
                 return None
             refusal = result.failure()
         attempted.append(Attempted(candidate.target, candidate.node, refusal))
+        _avoid(entry, candidate.target, refusal)
         entry.metrics.attempts.add(
             1, {"route": request.route.name, "outcome": refusal.reason.value}
         )
@@ -419,7 +423,22 @@
 ) -> Candidate | None:
     tried = {attempt.target for attempt in attempted}
     found = candidates(entry, request.route, request.pool)
-    return entry.choose([c for c in found if c.target not in tried])
+    left = [c for c in found if c.target not in tried]
+    now = entry.monotonic()
+    open_now = [
+        c for c in left if entry.avoid_until_by_target.get(c.target, 0.0) <= now
+    ]
+    return entry.choose(open_now or left)
+
+
+def _avoid(entry: Entry, target: str, refusal: Refusal) -> None:
+    """Pass over a target for a moment if it could not take a request at all.
+
+    Its load report shows free slots, so without this it would attract requests until
+    its owner's view has spread.
+    """
+    if refusal.verdict is Verdict.NOT_RUN and refusal.reason in FREE_REASONS:
+        entry.avoid_until_by_target[target] = entry.monotonic() + AVOID_S
 
 
 @asynccontextmanager
--- a/siskinlug/retries.py
+++ b/siskinlug/retries.py
@@ -5,12 +5,21 @@
 from siskinlug.tables import Route
 from siskinlug.verdict import Reason, Refusal, Verdict
 
-# A planned stop returns queued requests that have done nothing wrong, so these
-# attempts spend no budget and are allowed on routes without retries.
-PLANNED_REASONS = frozenset(
-    {Reason.NODE_LEAVING, Reason.TARGET_LEAVING, Reason.LEASE_LAPSED}
+# A planned stop returns queued requests that have done nothing wrong, and a target or
+# node that cannot be reached did no work, so these attempts spend no budget and are
+# allowed on routes without retries.
+FREE_REASONS = frozenset(
+    {
+        Reason.NODE_LEAVING,
+        Reason.TARGET_LEAVING,
+        Reason.LEASE_LAPSED,
+        Reason.TARGET_UNKNOWN,
+        Reason.TARGET_EJECTED,
+        Reason.TARGET_UNREACHABLE,
+        Reason.PEER_UNREACHABLE,
+    }
 )
-PLANNED_ATTEMPTS = 3
+FREE_ATTEMPTS = 3
 # Refusals that any other target would repeat.
 FINAL_REASONS = frozenset(
     {
@@ -127,8 +136,8 @@
         return False
     if now + expected_s > deadline:
         return False
-    if refusal.verdict is Verdict.NOT_RUN and refusal.reason in PLANNED_REASONS:
-        return attempt <= max(route.retries, PLANNED_ATTEMPTS)
+    if refusal.verdict is Verdict.NOT_RUN and refusal.reason in FREE_REASONS:
+        return attempt <= max(route.retries, FREE_ATTEMPTS)
     return attempt <= route.retries and budget.try_spend()
 
 
