--- /dev/null
+++ b/tests/test_process_configuration.py
@@ -0,0 +1,93 @@
+"""Configuration over processes: races, outages of the log, and restarts in them."""
+
+import asyncio
+
+import pytest
+import testtools
+from testtools.matchers import Equals
+
+from bench.fleet import LOG_PORT, Fleet, call, open_fleet, wait_until
+from siskinlug.log_client import open_log
+from siskinlug.publishing import Outcome, publish
+from tests.fleet_load import ROUTES, start_small_fleet
+
+pytestmark = pytest.mark.processes
+
+
+class ProcessConfigurationTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        manager = open_fleet()
+        self.fleet: Fleet = manager.__enter__()
+        self.addCleanup(manager.__exit__, None, None, None)
+        start_small_fleet(self.fleet)
+
+    def _publish(self, *changes: tuple[str, str]) -> list[Outcome]:
+        async def run() -> list[Outcome]:
+            return await asyncio.gather(
+                *(
+                    publish(
+                        open_log(self.fleet.log_url),
+                        "routes",
+                        ROUTES.replace("timeout_s = 5", f"timeout_s = {timeout}"),
+                        change=change,
+                        base=1,
+                        operator=change,
+                        timeout_s=5.0,
+                    )
+                    for change, timeout in changes
+                )
+            )
+
+        return asyncio.run(run())
+
+    def _switch_log(self, body: bytes) -> None:
+        reply = call(self.fleet.host(0), LOG_PORT, "POST", "/control", body=body)
+        self.assertThat(reply.status, Equals(200))
+
+    def _versions(self) -> set[tuple[int, str]]:
+        found = set()
+        for node in self.fleet.nodes:
+            page = self.fleet.admin(node.number, "/tables")
+            timeout = page["routes"]["read"]["timeout_s"]
+            found.add((page["routes_version"], str(timeout)))
+        return found
+
+    def test_two_operators_at_once(self) -> None:
+        """Guards against a lost update: one is accepted, one refused by name."""
+        outcomes = self._publish(("anna", "6"), ("boris", "7"))
+        kinds = sorted(outcome.kind for outcome in outcomes)
+        self.assertThat(kinds, Equals(["accepted", "refused"]))
+        winner = next(o for o in outcomes if o.kind == "accepted")
+        loser = next(o for o in outcomes if o.kind == "refused")
+        self.assertIn(winner.change, loser.detail)
+        self.fleet.wait_versions(routes=2, pools=1)
+        timeout = {"anna": "6.0", "boris": "7.0"}[winner.change]
+        self.assertThat(self._versions(), Equals({(2, timeout)}))
+
+    def test_lost_answer_of_the_log_counts_once(self) -> None:
+        """Guards against a second version after an append whose answer was lost."""
+        self._switch_log(b'{"lose_answers": 1}')
+        outcomes = self._publish(("carla", "8"))
+        self._switch_log(b'{"lose_answers": 0}')
+        self.assertThat([o.kind for o in outcomes], Equals(["accepted"]))
+        self.fleet.wait_versions(routes=2, pools=1)
+        self.assertThat(self._versions(), Equals({(2, "8.0")}))
+
+    def test_node_restarted_while_the_log_is_down(self) -> None:
+        """Guards against a node without configuration until the log returns."""
+        self._publish(("dora", "9"))
+        self.fleet.wait_versions(routes=2, pools=1)
+        self._switch_log(b'{"down": "reset"}')
+        outcomes = self._publish(("emil", "4"))
+        self.assertThat([o.kind for o in outcomes], Equals(["refused"]))
+        node = self.fleet.process_by_name["node-2"]
+        node.kill()
+        node.start()
+        self.fleet.wait_versions(routes=2, pools=1)
+        self.assertThat(self._versions(), Equals({(2, "9.0")}))
+        wait_until(
+            lambda: self.fleet.request(2, "GET", "/read?ms=1").status == 200,
+            "the restarted node serves",
+        )
+        self._switch_log(b'{"down": "no"}')
