--- a/siskinlug/membership.py
+++ b/siskinlug/membership.py
@@ -344,13 +344,18 @@
 def handle_sync(membership: Membership, message: SyncRequest) -> SyncAnswer:
     """Answer one step of a sync; see ``SyncRequest``."""
     directory = membership.directory
+    _observe(membership, message.at)
     few = len(message.records) <= RECORDS_PER_PING
     _take(membership, message.marks, message.records, spread=few)
     if "*" in message.want:
-        return SyncAnswer(directory.own_node, records=list(directory.alive()))
+        return SyncAnswer(
+            directory.own_node, membership.clock.now(), records=list(directory.alive())
+        )
     if not message.digests:
         return SyncAnswer(
-            directory.own_node, records=_live_records(directory, message.want)
+            directory.own_node,
+            membership.clock.now(),
+            records=_live_records(directory, message.want),
         )
     pairs = enumerate(
         zip(message.digests, directory.bucket_digests(), strict=False),
@@ -358,6 +363,7 @@
     buckets = [index for index, (theirs, ours) in pairs if theirs != ours]
     return SyncAnswer(
         directory.own_node,
+        membership.clock.now(),
         buckets=buckets,
         marks=[mark_of(held) for held in _in_buckets(directory, buckets)],
     )
@@ -395,6 +401,7 @@
     for address in _without_own(membership, addresses):
         request = SyncRequest(
             membership.directory.own_node,
+            membership.clock.now(),
             want=["*"],
             records=[membership.directory.own],
         )
@@ -404,6 +411,7 @@
         )
         if isinstance(result, Success):
             answer: SyncAnswer = result.unwrap()
+            _observe(membership, answer.at)
             elapsed = membership.monotonic() - started
             note_success(membership.links, answer.node, elapsed)
             _take(membership, answer.marks, answer.records, spread=False)
@@ -581,10 +589,15 @@
         result = await membership.call(
             address, SYNC, request, SyncAnswer, timeout_s=SYNC_TIMEOUT_S
         )
-        return result.unwrap() if isinstance(result, Success) else None
+        if not isinstance(result, Success):
+            return None
+        answer: SyncAnswer = result.unwrap()
+        _observe(membership, answer.at)
+        return answer
 
+    now = membership.clock.now
     first = await step(
-        SyncRequest(directory.own_node, digests=directory.bucket_digests())
+        SyncRequest(directory.own_node, now(), digests=directory.bucket_digests())
     )
     if first is None:
         return False
@@ -606,7 +619,7 @@
     if not (want or marks or records):
         return True
     second = await step(
-        SyncRequest(directory.own_node, want=want, marks=marks, records=records)
+        SyncRequest(directory.own_node, now(), want=want, marks=marks, records=records)
     )
     if second is None:
         return False
@@ -790,12 +803,15 @@
 # Taking changes
 
 
+def _observe(membership: Membership, at: tuple[int, int]) -> None:
+    """Move the clock past the time of a message, so that events order causally."""
+    if at[0] - membership.clock.now().wall_ms <= CLOCK_LEAD_MAX_MS:
+        membership.clock.observe(Timestamp(*at))
+
+
 def _take_gossip(membership: Membership, message: Gossip) -> dict[str, bool]:
     """Take all that a message carries; returns what changed as ``_take`` does."""
-    own = membership.clock.now()
-    at = Timestamp(*message.at)
-    if at.wall_ms - own.wall_ms <= CLOCK_LEAD_MAX_MS:
-        membership.clock.observe(at)
+    _observe(membership, message.at)
     sender = message.own.node
     if message.own.node == membership.directory.own_node:
         sender = ""
--- a/siskinlug/messages.py
+++ b/siskinlug/messages.py
@@ -95,9 +95,11 @@
         want: Nodes whose records are wanted; ``*`` stands for all.
         marks: Newer records whose content the receiver holds.
         records: Newer records.
+        at: Hybrid time of the sender.
     """
 
     sender: str
+    at: tuple[int, int]
     digests: list[int] = []
     want: list[str] = []
     marks: list[Mark] = []
@@ -112,9 +114,11 @@
         buckets: Buckets that differ.
         marks: Marks of all records in these buckets.
         records: The records that were wanted.
+        at: Hybrid time of the node.
     """
 
     node: str
+    at: tuple[int, int]
     buckets: list[int] = []
     marks: list[Mark] = []
     records: list[NodeRecord] = []
