--- a/siskinlug/node.py
+++ b/siskinlug/node.py
@@ -26,7 +26,7 @@
     OwnedTargets,
     accept_announcement,
 )
-from siskinlug.attempts import cancel, confirm, make_attempts
+from siskinlug.attempts import cancel, confirm, make_attempts, state_of
 from siskinlug.choice import make_choice
 from siskinlug.clock import HybridClock, wall_clock_ms
 from siskinlug.config_sync import (
@@ -39,7 +39,7 @@
 from siskinlug.connections import make_pool
 from siskinlug.directory import NodeRecord
 from siskinlug.ejection import answer_promises
-from siskinlug.entry import Entry, serve_caller
+from siskinlug.entry import Entry, EntryPeers, serve_caller
 from siskinlug.inbound import InboundLimits, InboundServer, drain_server, open_server
 from siskinlug.log_client import open_log
 from siskinlug.logs import log_event
@@ -56,6 +56,8 @@
 from siskinlug.messages import (
     Announcement,
     AnnouncementAnswer,
+    AttemptQuery,
+    AttemptState,
     CancelAnswer,
     CancelRequest,
     Position,
@@ -63,11 +65,17 @@
     encode,
 )
 from siskinlug.metrics import make_metrics
-from siskinlug.owner import Owner
+from siskinlug.owner import Owner, note_incarnation
+from siskinlug.paths import make_paths
 from siskinlug.peer_client import call_peer, make_peer_client
 from siskinlug.peer_server import MAX_MESSAGE_BYTES, Handler, make_peer_server
 from siskinlug.promises import PromiseAnswer, PromiseRequest
-from siskinlug.quarantine import make_quarantine
+from siskinlug.quarantine import (
+    Suspicion,
+    known_suspicions,
+    make_quarantine,
+    merge,
+)
 from siskinlug.service_times import make_service_times
 from siskinlug.settings import Settings
 from siskinlug.supervisor import supervise
@@ -114,6 +122,7 @@
             quarantine=self.quarantine,
             connections=self.connections,
             is_ejected=lambda target, route: is_ejected(self.watch, target, route),
+            on_suspicions=lambda: push_payload(self.membership, "suspicions"),
             monotonic=self.monotonic,
         )
         self.configuration = make_configuration(
@@ -138,7 +147,13 @@
                     read=lambda peer, position: note_position(
                         self.configuration, peer, position
                     ),
-                )
+                ),
+                Payload(
+                    name="suspicions",
+                    value_type=list[Suspicion],
+                    write=lambda _urgent: known_suspicions(self.quarantine) or None,
+                    read=lambda _peer, received: bool(merge(self.quarantine, received)),
+                ),
             ],
         )
         self.watch = _make_watch(self)
@@ -148,8 +163,9 @@
             connections=self.connections,
             tables=self.tables,
             choose=make_choice(random=random),
-            penalty_ms=lambda node, route: 0.0,
-            cancel_attempt=self._cancel_attempt,
+            paths=make_paths(monotonic=self.monotonic),
+            links=self.membership.links,
+            peers=EntryPeers(self._cancel_attempt, self._attempt_state),
             token=settings.token,
             metrics=self.metrics,
             monotonic=self.monotonic,
@@ -214,6 +230,19 @@
         verdict = Verdict(result.unwrap()["verdict"])
         return confirm(verdict, sent_at=sent_at, answered_at=self.monotonic())
 
+    async def _attempt_state(self, peer: NodeRecord, attempt: str) -> str | None:
+        """Ask an owner over a new connection whether an attempt has arrived."""
+        result = await call_peer(
+            self.peer_client,
+            (peer.host, peer.peer_port),
+            "/peer/attempts/state",
+            AttemptQuery(attempt=attempt),
+            AttemptState,
+            timeout_s=CANCEL_TIMEOUT_S,
+            fresh=True,
+        )
+        return result.unwrap()["state"] if isinstance(result, Success) else None
+
 
 def _address(text: str) -> tuple[str, int]:
     host, _, port = text.rpartition(":")
@@ -257,6 +286,7 @@
     if not known:
         detail = f"{message['service']}, {message['slots']} slots"
         record(node.timeline, Kind.TARGET_ANNOUNCED, message["target"], detail)
+    note_incarnation(node.owner, message["target"], message["incarnation"])
     publish_targets(node.watch)
     return accepted.unwrap()
 
@@ -312,6 +342,7 @@
         random=node.random,
         ejection_by_target={},
         task_by_target={},
+        on_expired=lambda target: note_incarnation(node.owner, target, None),
     )
 
 
@@ -338,7 +369,11 @@
     async def promise(message: PromiseRequest) -> PromiseAnswer:
         return answer_promises(node.watch.ejection_by_target, message)
 
+    async def attempt_state(message: AttemptQuery) -> AttemptState:
+        return AttemptState(state=state_of(node.attempts, message["attempt"]))
+
     handler_by_path = {
+        "/peer/attempts/state": _message_handler(AttemptQuery, attempt_state),
         CONFIGURATION_PATH: configuration,
         PROMISES_PATH: _message_handler(PromiseRequest, promise),
         "/announce": _message_handler(Announcement, announce),
