Let long work finish beside short work, and choose by class with exact local load

Cause: the reserve kept 2 of 4 slots from long work that needs 2.7, so 5 to 24 % of it timed out in queues; the choice did not know which target had a slot for long work; entries without fresh reports kept to their own busy target.

--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import AsyncIterator, Callable, Sequence
+from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
 from itertools import count
 from random import Random
@@ -12,22 +12,28 @@
 
 from bench.replay import Policy
 from siskinlug.admission import Ticket
-from siskinlug.choice import Candidate
+from siskinlug.choice import Candidate, Choice
 from siskinlug.verdict import Reason, Refusal, not_run
 
-Choice = Callable[[Sequence[Candidate]], Candidate | None]
-
 
 def make_random_choice(*, random: Random) -> Choice:
     """Make a choice that ignores load."""
-    return lambda candidates: random.choice(candidates) if candidates else None
+
+    def choose(
+        candidates: Sequence[Candidate], *, long_work: bool = False
+    ) -> Candidate | None:
+        return random.choice(candidates) if candidates else None
+
+    return choose
 
 
 def make_round_robin(*, random: Random) -> Choice:
     """Make a choice that takes targets in turn, from a random start."""
     turns = count(random.randrange(1000))
 
-    def choose(candidates: Sequence[Candidate]) -> Candidate | None:
+    def choose(
+        candidates: Sequence[Candidate], *, long_work: bool = False
+    ) -> Candidate | None:
         return candidates[next(turns) % len(candidates)] if candidates else None
 
     return choose
--- a/bench/replay.py
+++ b/bench/replay.py
@@ -7,7 +7,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Coroutine, Iterable, Sequence
+from collections.abc import Callable, Coroutine, Iterable
 from contextlib import AbstractAsyncContextManager
 from random import Random
 from typing import Any, NamedTuple, Protocol
@@ -17,7 +17,7 @@
 from bench.trace import Arrival, Fault, Trace
 from bench.virtual_time import run_virtual
 from siskinlug.admission import Ticket, make_admission, open_slot
-from siskinlug.choice import Candidate, make_choice
+from siskinlug.choice import Candidate, Choice, make_choice
 from siskinlug.load import LoadReport
 from siskinlug.retries import make_retry_budget, may_retry, note_success
 from siskinlug.service_times import is_long, make_service_times, observe, usual_s
@@ -70,9 +70,7 @@
     """The rules under test, replaced one at a time by baselines."""
 
     name: str = "siskinlug"
-    make_choice: Callable[..., Callable[[Sequence[Candidate]], Candidate | None]] = (
-        make_choice
-    )
+    make_choice: Callable[..., Choice] = make_choice
     make_admission: Callable[..., Any] = make_admission
     open_slot: OpenSlot = open_slot
     report: Callable[[Any], LoadReport | None] = lambda admission: admission.report()
@@ -176,6 +174,10 @@
         self.random = random
         self.done: list[Done] = []
 
+    def report(self, target: str) -> LoadReport | None:
+        """Return the load report of a target's owner."""
+        return self.policy.report(self.admissions[target])
+
     async def run(self) -> None:
         """Play all arrivals and wait for their ends."""
         extra = None
@@ -217,6 +219,9 @@
             if self.replay.hooks.is_ejected(target, route) or target in tried:
                 continue
             load, at = self.load_by_target.get(target, (None, now))
+            if int(target[1:]) == self.number:
+                # Entry and owner are one process: the load is known exactly.
+                load, at = self.replay.report(target), now
             found.append(
                 Candidate(
                     target,
@@ -241,16 +246,22 @@
             arrival.route, "*", "/", (), "pool", idempotent=arrival.idempotent
         )
         tried: set[str] = set()
+        long_work = arrival.work == "long" or (
+            arrival.work == "learned" and is_long(self.times, arrival.route)
+        )
+        long_work = long_work and self.replay.policy.reserve
         try:
             async with asyncio.timeout_at(deadline):
                 await asyncio.sleep(client_s)
                 while True:
-                    chosen = self.choose(self._candidates(arrival.route, tried))
+                    chosen = self.choose(
+                        self._candidates(arrival.route, tried), long_work=long_work
+                    )
                     if chosen is None:
                         refusal = refusal or not_run(Reason.NO_TARGET)
                         break
                     target, attempts = chosen.target, attempts + 1
-                    refusal = await self._attempt(chosen, arrival, deadline)
+                    refusal = await self._attempt(chosen, arrival, long_work, deadline)
                     if refusal is None:
                         note_success(self.budget)
                         break
@@ -281,19 +292,16 @@
         )
 
     async def _attempt(
-        self, chosen: Candidate, arrival: Arrival, deadline: float
+        self, chosen: Candidate, arrival: Arrival, long_work: bool, deadline: float
     ) -> Refusal | None:
         replay = self.replay
         hop_s = (0.0, replay.trace.fleet.hop_s / 3, replay.trace.fleet.hop_s)
-        long_work = arrival.work == "long" or (
-            arrival.work == "learned" and is_long(self.times, arrival.route)
-        )
         ticket = Ticket(
             "attempt",
             arrival.route,
             arrival.account,
             arrival.priority,
-            long_work and replay.policy.reserve,
+            long_work,
             deadline,
         )
         admission = replay.admissions[chosen.target]
@@ -304,7 +312,7 @@
             else:
                 slot: SlotLike = result.unwrap()
                 refusal = await self._run(slot, chosen.target, arrival)
-        load = replay.policy.report(admission)
+        load = replay.report(chosen.target)
         await asyncio.sleep(hop_s[chosen.distance])
         if load is not None:
             self.load_by_target[chosen.target] = load, replay.loop.time()
--- a/siskinlug/admission.py
+++ b/siskinlug/admission.py
@@ -37,6 +37,12 @@
 SLOW_RATIO = 2.0
 # Time over which demand for short work is averaged to size the reserve.
 DEMAND_S = 2.0
+# A target that fails at once always has free slots. Its report therefore gives the
+# time to a useful answer: the service time divided by the share of good answers.
+FAILURE_WEIGHT = 0.2
+FAILURE_HALF_LIFE_S = 1.0
+FAILURE_MOST = 0.95
+FAILURE_SERVICE_MIN_S = 0.01
 
 
 class Ticket(NamedTuple):
@@ -219,6 +225,8 @@
         self._queue_empty = monotonic()
         self._demand = 0.0
         self._demand_at = monotonic()
+        self._failing = 0.0
+        self._failing_at = monotonic()
 
     @property
     def limit_min(self) -> int:
@@ -240,12 +248,16 @@
         """Slots that long work must leave free.
 
         At least one where there are two, and more as short work needs them, but
-        long work always keeps one.
+        long work always keeps one. The allowance above the average demand is given
+        up while long work waits longer than it runs.
         """
         if self.limit_now <= 1:
             return 0
-        need = math.ceil(self._demand + math.sqrt(self._demand))
-        return min(max(need, 1), self.limit_now - 1)
+        need = self._demand + math.sqrt(self._demand)
+        queue = self._queue_by_class[True].waiting
+        if queue and self.monotonic() - queue[0].since > self._mean_by_class[True]:
+            need = self._demand
+        return min(max(math.floor(need + 0.5), 1), self.limit_now - 1)
 
     def expected_wait_s(self, ticket: Ticket) -> float:
         """Return the expected wait of a ticket that arrives now, in seconds."""
@@ -254,12 +266,14 @@
             return 0.0
         key = (ticket.priority, queue.tag(ticket.account), math.inf)
         ahead = sum(1 for waiting in queue.waiting if waiting.order < key)
-        if ticket.long_work:
-            servers = self.limit_now - self.reserve
-        else:
-            servers = self.limit_now - self.long_in_use
-        mean = self._mean_by_class[ticket.long_work]
-        return (ahead + 1) * mean / max(servers, 1)
+        return self._wait_s(ticket.long_work, ahead)
+
+    def _wait_s(self, long_work: bool, ahead: int) -> float:
+        """Return the wait behind queued tickets of one class, in seconds."""
+        if ahead == 0 and self._may_start(long_work):
+            return 0.0
+        servers = self.limit_now - (self.reserve if long_work else self.long_in_use)
+        return (ahead + 1) * self._mean_by_class[long_work] / max(servers, 1)
 
     def allowed_wait_s(self) -> float:
         """Return the longest wait allowed now, in seconds."""
@@ -301,6 +315,10 @@
         self, slot: Slot, status: int | None, service_s: float, shed: bool
     ) -> None:
         """Adapt the limit and the learned times to one answer."""
+        failed = shed or status is None or status >= 500
+        self._failing = self._failing_now()
+        self._failing += FAILURE_WEIGHT * (failed - self._failing)
+        self._failing_at = self.monotonic()
         if shed:
             self._lower(slot, SHED_FACTOR)
             return
@@ -482,6 +500,11 @@
         self._lowered = self.monotonic()
         self.limit = max(self.limit * factor, float(self.limit_min))
 
+    def _failing_now(self) -> float:
+        """Return the share of recent answers that failed, fading without answers."""
+        age_s = self.monotonic() - self._failing_at
+        return self._failing * 0.5 ** (age_s / FAILURE_HALF_LIFE_S)
+
     def _usual_s(self, ticket: Ticket) -> float:
         times = self._times_by_route.get(ticket.route)
         return times.usual.value if times is not None else 0.0
@@ -502,14 +525,25 @@
 
     def report(self) -> LoadReport:
         """Return the load report for answers."""
-        probe = Ticket("", "", "", 5, False, math.inf)
+        # Entries choose for all accounts, so the whole queue counts as ahead.
+        wait_s, long_wait_s = (
+            self._wait_s(long_work, len(queue.waiting))
+            for long_work, queue in self._queue_by_class.items()
+        )
+        failing = self._failing_now()
+        service_s = self._p50.value
+        if failing > 0:
+            service_s = max(service_s, FAILURE_SERVICE_MIN_S * failing)
+        long_free = self.limit_now - self.reserve - self.long_in_use
         return LoadReport(
             self.target,
             self.limit_now,
             self.in_use,
             self.queued,
-            self.expected_wait_s(probe) * 1000,
-            self._p50.value * 1000,
+            wait_s * 1000,
+            service_s / (1.0 - min(failing, FAILURE_MOST)) * 1000,
+            max(min(long_free, self.limit_now - self.in_use), 0),
+            long_wait_s * 1000,
         )
 
 
--- a/siskinlug/choice.py
+++ b/siskinlug/choice.py
@@ -1,8 +1,8 @@
-"""Choice of a target: two weighted draws, the lower expected time wins."""
+"""Choice of a target: two weighted draws and the own VM, the shortest time wins."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from random import Random
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from siskinlug.load import LoadReport
 
@@ -13,6 +13,7 @@
 # Age at which a load report counts half. At peak a target's queue turns over in
 # tens of milliseconds, so a report older than a second says little.
 HALF_LIFE_S = 0.25
+MAX_TARGETS = 4096  # the fleet has about 3,500
 # Weight of a target without free slots, so that it is still drawn when all are full.
 _FULL_WEIGHT = 0.05
 
@@ -41,63 +42,126 @@
     penalty_ms: float = 0.0
 
 
+class Choice(Protocol):
+    """Chooses one of the candidates for a request."""
+
+    def __call__(
+        self, candidates: Sequence[Candidate], *, long_work: bool = False
+    ) -> Candidate | None:
+        """Return the chosen candidate, if any."""
+
+
 class _View(NamedTuple):
     free: float
     expected_ms: float
 
 
-def _mean_view(candidates: Sequence[Candidate]) -> _View:
-    """Return what to assume of a target whose report is missing or stale."""
-    loads = [c.load for c in candidates if c.load is not None]
-    if not loads:
-        return _View(0.5, 0.0)
-    free = sum(_free(load) for load in loads) / len(loads)
-    expected = sum(_expected_ms(load) for load in loads) / len(loads)
-    return _View(free, expected)
+class _Sent:
+    """Requests sent to each target since its last report.
+
+    Without them an entry sends a burst to the target that looked best before it.
+    """
+
+    def __init__(self) -> None:
+        self._sent_by_target: dict[str, tuple[LoadReport, int]] = {}
 
+    def since(self, candidate: Candidate) -> int:
+        report, sent = self._sent_by_target.get(candidate.target, (None, 0))
+        return sent if report is candidate.load else 0
 
-def _free(load: LoadReport) -> float:
-    busy = load.in_use + load.queued
-    return max(load.slots - busy, 0) / load.slots if load.slots else 0.0
+    def note(self, candidate: Candidate) -> None:
+        if candidate.load is None:
+            return
+        sent = self.since(candidate) + 1
+        if len(self._sent_by_target) >= MAX_TARGETS:
+            self._sent_by_target.clear()
+        self._sent_by_target[candidate.target] = candidate.load, sent
 
 
-def _expected_ms(load: LoadReport) -> float:
+def _view(load: LoadReport, long_work: bool, sent: int) -> _View:
+    """Return free capacity, as a share of the slots, and the expected time.
+
+    Args:
+        load: The target's report.
+        long_work: Whether the request is long work.
+        sent: Requests that this entry sent there since the report.
+    """
+    if load.slots <= 0:
+        return _View(0.0, load.wait_ms + load.service_ms)
+    if long_work:
+        free = max(load.long_free - sent, 0)
+        return _View(free / load.slots, load.long_wait_ms)
+    busy = load.in_use + load.queued + sent
+    use = min(busy / load.slots, 1.0)
+    over = min(max(busy - load.slots, 0), sent)
+    wait_ms = load.wait_ms + load.service_ms * over / load.slots
     # A target with one free slot left is likely to be full on arrival, so part of
     # the service time counts as wait in proportion to the square of the use.
-    use = (load.in_use + load.queued) / load.slots if load.slots else 1.0
-    return load.wait_ms + load.service_ms * (1.0 + 0.5 * min(use, 1.0) ** 2)
+    expected_ms = wait_ms + load.service_ms * (1.0 + 0.5 * use * use)
+    return _View(1.0 - use, expected_ms)
 
 
-def _view(candidate: Candidate, mean: _View) -> _View:
-    if candidate.load is None:
-        return mean
-    trust = 0.5 ** (max(candidate.load_age_s, 0.0) / HALF_LIFE_S)
-    return _View(
-        trust * _free(candidate.load) + (1 - trust) * mean.free,
-        trust * _expected_ms(candidate.load) + (1 - trust) * mean.expected_ms,
-    )
+def _views(
+    candidates: Sequence[Candidate], long_work: bool, sent: "_Sent"
+) -> list[_View]:
+    """Return a view of each candidate.
 
-
-def make_choice(*, random: Random) -> Callable[[Sequence[Candidate]], Candidate | None]:
+    A stale report counts less than the mean of the fresh ones. The mean includes one
+    half-used target without a wait, so that an entry whose only report is of its own
+    busy target still tries the others.
+    """
+    fresh = [
+        c.load and (_view(c.load, long_work, sent.since(c)), _trust(c))
+        for c in candidates
+    ]
+    service_ms = min((c.load.service_ms for c in candidates if c.load), default=0.0)
+    free, expected_ms, total = 0.5, 0.0 if long_work else service_ms, 1.0
+    for known in fresh:
+        if known:
+            view, trust = known
+            free += trust * view.free
+            expected_ms += trust * view.expected_ms
+            total += trust
+    mean = _View(free / total, expected_ms / total)
+    return [
+        _View(
+            mean.free + known[1] * (known[0].free - mean.free),
+            mean.expected_ms + known[1] * (known[0].expected_ms - mean.expected_ms),
+        )
+        if known
+        else mean
+        for known in fresh
+    ]
+
+
+def _trust(candidate: Candidate) -> float:
+    return float(0.5 ** (max(candidate.load_age_s, 0.0) / HALF_LIFE_S))
+
+
+def make_choice(*, random: Random) -> Choice:
     """Make the choice of one entry.
 
     Power of two choices (Mitzenmacher, 2001): two different candidates are drawn at
     random, weighted by free capacity, and the one with the lower expected time is
-    taken.
+    taken. Targets of the entry's own VM always take part: their load is known
+    exactly and they cost no second hop.
 
     Args:
         random: Source of randomness.
 
     Returns:
-        A function from candidates to the chosen one; ``None`` if none has weight.
+        A function from candidates, and whether the request is long work, to the
+        chosen candidate; ``None`` if none has weight.
     """
+    sent = _Sent()
 
-    def choose(candidates: Sequence[Candidate]) -> Candidate | None:
+    def choose(
+        candidates: Sequence[Candidate], *, long_work: bool = False
+    ) -> Candidate | None:
         usable = [c for c in candidates if c.weight > 0 and c.slots > 0]
         if len(usable) <= 1:
             return usable[0] if usable else None
-        mean = _mean_view(usable)
-        views = [_view(c, mean) for c in usable]
+        views = _views(usable, long_work, sent)
         weights = [
             c.weight * c.slots * max(view.free, _FULL_WEIGHT)
             for c, view in zip(usable, views, strict=True)
@@ -114,6 +178,9 @@
                 views[place].expected_ms + DISTANCE_MS[distance] + candidate.penalty_ms
             )
 
-        return usable[min(first, second, key=cost_ms)]
+        local = [place for place in places if usable[place].distance == 0]
+        chosen = usable[min(first, second, *local, key=cost_ms)]
+        sent.note(chosen)
+        return chosen
 
     return choose
--- a/siskinlug/load.py
+++ b/siskinlug/load.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-_FIELDS = 6
+_FIELDS = 8
 
 
 class LoadReport(NamedTuple):
@@ -14,7 +14,10 @@
         in_use: Slots taken.
         queued: Requests waiting in the owner's queue.
         wait_ms: Expected wait of a new request, in milliseconds.
-        service_ms: Recent median service time, in milliseconds.
+        service_ms: Recent median service time, in milliseconds, divided by the
+            share of answers that did not fail.
+        long_free: Free slots that long work may take.
+        long_wait_ms: Expected wait of new long work, in milliseconds.
     """
 
     target: str
@@ -23,13 +26,16 @@
     queued: int
     wait_ms: float
     service_ms: float
+    long_free: int = 0
+    long_wait_ms: float = 0.0
 
 
 def encode_load(load: LoadReport) -> str:
     """Encode a report as a header value."""
     return (
         f"{load.target};{load.slots};{load.in_use};{load.queued};"
-        f"{load.wait_ms:.1f};{load.service_ms:.1f}"
+        f"{load.wait_ms:.1f};{load.service_ms:.1f};"
+        f"{load.long_free};{load.long_wait_ms:.1f}"
     )
 
 
@@ -39,7 +45,7 @@
     if len(parts) != _FIELDS:
         return None
     try:
-        target, slots, in_use, queued, wait_ms, service_ms = parts
+        target, slots, in_use, queued, wait_ms, service_ms, long_free, long_ms = parts
         return LoadReport(
             target,
             int(slots),
@@ -47,6 +53,8 @@
             int(queued),
             float(wait_ms),
             float(service_ms),
+            int(long_free),
+            float(long_ms),
         )
     except ValueError:
         return None
