Add Idempotency-Key claims through the log

A caller that resends a booking after a lost answer must not run it twice. The home of a key's partition appends claims and outcomes in batches and grants a claim only when it reads it back as the holder; several homes are ordered by the log. Batches carry a sequence number of their home, so an append that takes effect late counts for nothing.

Only the entry frees a claim. A home that frees what it gave up on would race with an entry that asks another home with the same claim id. A repeat of a running key is told may-have-run, not not-run, since callers take the verdict for the key. Keys are scoped by account.

--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,412 @@
+"""Claims: a key runs at most once, whatever is lost, late, paused or moved."""
+
+import asyncio
+import random
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import testtools
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
+from returns.result import Failure, Result, Success
+from testtools.matchers import Equals
+
+from bench.virtual_time import run_virtual
+from siskinlug.claims import (
+    Claim,
+    Claims,
+    ClaimsAnswer,
+    ClaimsRequest,
+    claim,
+    close_claims,
+    home_node,
+    key_digest,
+    make_claims,
+    serve_claims,
+    settle,
+)
+from siskinlug.tables import Route
+from siskinlug.verdict import Reason, Refusal, Verdict
+from tests.fake_log import FakeLog
+
+_NODES = ("n0", "n1", "n2")
+_KEYS = [key_digest("account", f"key-{number}") for number in range(3)]
+
+
+def _route(without_log: str = "refuse") -> Route:
+    return Route(
+        name="r",
+        host="*",
+        path_prefix="/",
+        methods=(),
+        pool="p",
+        timeout_s=4.0,
+        claims_without_log=without_log,
+    )
+
+
+class Fleet:
+    """Three nodes in one process, with a network that loses and delays messages."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng = rng
+        self.log = FakeLog(rng)
+        self.loss_ratio = 0.0
+        self.count = 0
+        self.home_by_view = dict.fromkeys(_NODES, "n0")
+        self.paused_until = dict.fromkeys(_NODES, 0.0)
+        self.running: dict[str, set[asyncio.Task[None]]] = {n: set() for n in _NODES}
+        self.claims = {node: self._make(node) for node in _NODES}
+
+    def _make(self, node: str) -> Claims:
+        self.count += 1
+        loop = asyncio.get_running_loop()
+        dead: list[bool] = []
+
+        async def gate() -> None:
+            if dead:
+                await loop.create_future()
+            await asyncio.sleep(max(0.0, self.paused_until[node] - loop.time()))
+
+        async def append(stream: str, record: Any, *, timeout_s: float = 3.0) -> Any:
+            await gate()
+            result = await self.log.append(stream, record, timeout_s=timeout_s)
+            await gate()
+            return result
+
+        async def read(
+            stream: str, start: int, *, limit: int = 100, timeout_s: float = 3.0
+        ) -> Any:
+            await gate()
+            result = await self.log.read(
+                stream, start, limit=limit, timeout_s=timeout_s
+            )
+            await gate()
+            return result
+
+        async def call_home(home: str, request: ClaimsRequest) -> ClaimsAnswer | None:
+            await gate()
+            await asyncio.sleep(self.rng.uniform(0.001, 0.01))
+            if self.rng.random() < self.loss_ratio:
+                return None
+            answer = await serve_claims(self.claims[home], request)
+            if self.rng.random() < self.loss_ratio:
+                return None
+            await gate()
+            return answer
+
+        made = make_claims(
+            node=node,
+            incarnation=self.count,
+            append=append,
+            read=read,
+            home_of=lambda _partition: self.home_by_view[node],
+            call_home=call_home,
+            monotonic=loop.time,
+            wall_ms=lambda: int(loop.time() * 1000) + 1_000_000,
+        )
+        made.dead = dead  # type: ignore[attr-defined]
+        return made
+
+    async def crash(self, node: str) -> None:
+        """Lose a node with all that it holds, and start it again empty."""
+        old = self.claims[node]
+        old.dead.append(True)  # type: ignore[attr-defined]
+        for task in self.running[node]:
+            task.cancel()
+        self.claims[node] = self._make(node)
+        await close_claims(old)
+
+    async def ask(
+        self, node: str, key: str, name: str, *, without_log: str = "refuse"
+    ) -> Result[Claim, Refusal]:
+        return await claim(self.claims[node], key, "print", name, _route(without_log))
+
+    async def close(self) -> None:
+        for claims in self.claims.values():
+            await close_claims(claims)
+
+
+class Checker:
+    """Entries that run what they are granted, and what callers were told."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+        self.ran_by_key: dict[str, list[str]] = {key: [] for key in _KEYS}
+        self.told: list[tuple[str, Verdict]] = []
+        self.count = 0
+
+    async def request(self, node: str, key: str) -> None:
+        """One keyed request of a caller, from its claim to its outcome."""
+        rng = self.fleet.rng
+        self.count += 1
+        name = f"c{self.count}"
+        granted = await self.fleet.ask(node, key, name)
+        if isinstance(granted, Failure):
+            refusal = granted.failure()
+            self.told.append((name, refusal.verdict))
+            if refusal.verdict is Verdict.RAN:
+                assert self.ran_by_key[key], "called ran before it ran"
+            return
+        held = granted.unwrap()
+        if held.answer is not None:
+            ran = [name.encode() for name in self.ran_by_key[key]]
+            assert [held.answer["body"]] == ran, "the answer of another request"
+            return
+        await asyncio.sleep(rng.uniform(0.0, 2.0))
+        outcome = rng.choice(["ran", "not run", "lost after", "lost before", "dies"])
+        if outcome in ("ran", "lost after", "dies"):
+            assert not self.ran_by_key[key], "a key ran twice"
+            self.ran_by_key[key].append(name)
+        verdict = {
+            "ran": Verdict.RAN,
+            "not run": Verdict.NOT_RUN,
+            "lost after": Verdict.MAY_HAVE_RUN,
+            "lost before": Verdict.MAY_HAVE_RUN,
+        }.get(outcome)
+        if verdict is not None:
+            self.told.append((name, verdict))
+            await settle(held, verdict, 200, (), name.encode())
+
+    def check(self) -> None:
+        ran = {name for names in self.ran_by_key.values() for name in names}
+        for name, verdict in self.told:
+            assert verdict is not Verdict.NOT_RUN or name not in ran
+
+
+async def _chaos(fleet: Fleet, checker: Checker) -> None:
+    rng = fleet.rng
+    fleet.loss_ratio = rng.choice([0.0, 0.1, 0.4])
+    fleet.log.fault_ratio = rng.choice([0.0, 0.1, 0.4])
+    tasks = []
+    for _ in range(40):
+        node = rng.choice(_NODES)
+        event = rng.random()
+        if event < 0.6:
+            task = asyncio.ensure_future(checker.request(node, rng.choice(_KEYS)))
+            fleet.running[node].add(task)
+            tasks.append(task)
+        elif event < 0.75:
+            fleet.home_by_view[node] = rng.choice(_NODES)
+        elif event < 0.83:
+            loop = asyncio.get_running_loop()
+            fleet.paused_until[node] = loop.time() + rng.uniform(0.0, 8.0)
+        elif event < 0.9:
+            await fleet.crash(node)
+        elif event < 0.97:
+            fleet.log.down = not fleet.log.down
+        elif tasks:
+            tasks[-1].cancel()
+        await asyncio.sleep(rng.choice([0.0, 0.01, 0.3, 2.0]))
+    for outcome in await asyncio.gather(*tasks, return_exceptions=True):
+        if isinstance(outcome, Exception):
+            raise outcome
+
+
+def _run(use: Callable[[Fleet], Coroutine[Any, Any, Any]], *, seed: int = 1) -> Any:
+    async def main() -> Any:
+        fleet = Fleet(random.Random(seed))
+        try:
+            return await use(fleet)
+        finally:
+            await fleet.close()
+
+    return run_virtual(main())
+
+
+def _verdict(result: Result[Claim, Refusal]) -> tuple[Verdict, Reason] | str:
+    if isinstance(result, Success):
+        return "answered" if result.unwrap().answer is not None else "granted"
+    return result.failure().verdict, result.failure().reason
+
+
+class ClaimsModelTest(testtools.TestCase):
+    @settings(max_examples=300)
+    @given(st.integers(0, 2**32))
+    def test_each_key_runs_at_most_once(self, seed: int) -> None:
+        """Guards against double runs and false verdicts under every kind of loss."""
+
+        async def use(fleet: Fleet) -> None:
+            checker = Checker(fleet)
+            await _chaos(fleet, checker)
+            fleet.log.down = False
+            fleet.loss_ratio = fleet.log.fault_ratio = 0.0
+            await asyncio.sleep(30.0)
+            for node in _NODES:
+                for key in _KEYS:
+                    await checker.request(node, key)
+            checker.check()
+
+        _run(use, seed=seed)
+
+
+class ClaimsTest(testtools.TestCase):
+    def test_a_repeat_gets_the_kept_answer_or_the_truth(self) -> None:
+        async def use(fleet: Fleet) -> list[Any]:
+            first = await fleet.ask("n1", _KEYS[0], "c1")
+            running = await fleet.ask("n2", _KEYS[0], "c2")
+            other = await claim(
+                fleet.claims["n2"], _KEYS[0], "other print", "c3", _route()
+            )
+            await settle(first.unwrap(), Verdict.RAN, 200, [("A", "b")], b"body")
+            await asyncio.sleep(2.0)
+            repeat = await fleet.ask("n2", _KEYS[0], "c4")
+            await fleet.crash("n0")
+            fleet.home_by_view = dict.fromkeys(_NODES, "n2")
+            moved = await fleet.ask("n1", _KEYS[0], "c5")
+            assert running.failure().retry_after_s
+            assert repeat.unwrap().answer == {
+                "status": 200,
+                "headers": [("A", "b")],
+                "body": b"body",
+            }
+            return [_verdict(r) for r in (first, running, other, repeat, moved)]
+
+        self.assertThat(
+            _run(use),
+            Equals(
+                [
+                    "granted",
+                    (Verdict.MAY_HAVE_RUN, Reason.KEY_CLAIMED),
+                    (Verdict.NOT_RUN, Reason.KEY_MISMATCH),
+                    "answered",
+                    (Verdict.RAN, Reason.KEY_CLAIMED),
+                ]
+            ),
+        )
+
+    def test_the_loss_of_home_and_entry_leaves_may_have_run(self) -> None:
+        """Guards against a new home that takes an unsettled key for a free one."""
+
+        async def use(fleet: Fleet) -> Any:
+            await fleet.ask("n0", _KEYS[0], "c1")
+            await fleet.crash("n0")
+            fleet.home_by_view = dict.fromkeys(_NODES, "n1")
+            await asyncio.sleep(20.0)
+            result = await fleet.ask("n2", _KEYS[0], "c2")
+            assert result.failure().retry_after_s is None
+            return _verdict(result)
+
+        self.assertThat(_run(use), Equals((Verdict.MAY_HAVE_RUN, Reason.KEY_CLAIMED)))
+
+    def test_a_key_that_was_not_run_is_free_at_every_home(self) -> None:
+        """Guards against a home that refuses by a state that is out of date."""
+
+        async def use(fleet: Fleet) -> list[Any]:
+            first = await fleet.ask("n1", _KEYS[0], "c1")
+            fleet.home_by_view["n2"] = "n2"
+            seen = await fleet.ask("n2", _KEYS[0], "c2")
+            await settle(first.unwrap(), Verdict.NOT_RUN, 0, (), None)
+            await asyncio.sleep(3.0)
+            freed = await fleet.ask("n2", _KEYS[0], "c3")
+            return [_verdict(seen), _verdict(freed)]
+
+        self.assertThat(
+            _run(use), Equals([(Verdict.MAY_HAVE_RUN, Reason.KEY_CLAIMED), "granted"])
+        )
+
+    def test_a_batch_that_takes_effect_late_counts_for_nothing(self) -> None:
+        """Guards against a key held for ever by a claim that was given up."""
+
+        async def use(fleet: Fleet) -> list[Any]:
+            fleet.log.lose_next = 1000
+            lost = await fleet.ask("n1", _KEYS[0], "c1")
+            fleet.log.lose_next = 0
+            await asyncio.sleep(5.0)
+            fleet.log.release_held_back()
+            fleet.home_by_view = dict.fromkeys(_NODES, "n2")
+            free = await fleet.ask("n1", _KEYS[0], "c2")
+            return [_verdict(lost), _verdict(free)]
+
+        self.assertThat(
+            _run(use),
+            Equals([(Verdict.NOT_RUN, Reason.KEY_UNAVAILABLE), "granted"]),
+        )
+
+    def test_a_claim_that_arrives_after_its_release_is_refused(self) -> None:
+        """Guards against a key held by a request that its entry has given up."""
+
+        async def use(fleet: Fleet) -> list[Any]:
+            unused = Claim(fleet.claims["n1"], _KEYS[0], "c1", None)
+            await settle(unused, Verdict.NOT_RUN, 0, (), None)
+            await asyncio.sleep(0.5)
+            late = await fleet.ask("n1", _KEYS[0], "c1")
+            free = await fleet.ask("n1", _KEYS[0], "c2")
+            return [_verdict(late), _verdict(free)]
+
+        self.assertThat(
+            _run(use), Equals([(Verdict.NOT_RUN, Reason.KEY_UNAVAILABLE), "granted"])
+        )
+
+    def test_without_the_log(self) -> None:
+        """Guards against a run without a claim, and memory claims lost to the log."""
+
+        async def use(fleet: Fleet) -> list[Any]:
+            fleet.log.down = True
+            refused = await fleet.ask("n1", _KEYS[0], "c1")
+            memory = await fleet.ask("n1", _KEYS[1], "c2", without_log="memory")
+            repeat = await fleet.ask("n2", _KEYS[1], "c3", without_log="memory")
+            await settle(memory.unwrap(), Verdict.RAN, 200, (), None)
+            fleet.log.down = False
+            await asyncio.sleep(5.0)
+            fleet.home_by_view = dict.fromkeys(_NODES, "n2")
+            moved = await fleet.ask("n1", _KEYS[1], "c4")
+            return [_verdict(r) for r in (refused, memory, repeat, moved)]
+
+        self.assertThat(
+            _run(use),
+            Equals(
+                [
+                    (Verdict.NOT_RUN, Reason.KEY_UNAVAILABLE),
+                    "granted",
+                    (Verdict.MAY_HAVE_RUN, Reason.KEY_CLAIMED),
+                    (Verdict.RAN, Reason.KEY_CLAIMED),
+                ]
+            ),
+        )
+
+    def test_keys_expire_after_their_time_and_not_before(self) -> None:
+        async def use(fleet: Fleet) -> list[Any]:
+            first = await fleet.ask("n1", _KEYS[0], "c1")
+            await settle(first.unwrap(), Verdict.RAN, 200, (), None)
+            await asyncio.sleep(3590.0)
+            held = await fleet.ask("n1", _KEYS[0], "c2")
+            await asyncio.sleep(200.0)
+            expired = await fleet.ask("n1", _KEYS[0], "c3")
+            return [_verdict(held), _verdict(expired)]
+
+        self.assertThat(
+            _run(use), Equals([(Verdict.RAN, Reason.KEY_CLAIMED), "granted"])
+        )
+
+    def test_claims_share_appends(self) -> None:
+        """Guards against an append for each request, which the log cannot take."""
+
+        async def use(fleet: Fleet) -> tuple[int, int]:
+            keys = [f"00000000{number:024x}" for number in range(300)]
+            asked = [fleet.ask("n1", key, f"c-{key}") for key in keys]
+            results = await asyncio.gather(*asked)
+            granted = [result.unwrap() for result in results]
+            for held in granted:
+                await settle(held, Verdict.RAN, 200, (), None)
+            await asyncio.sleep(5.0)
+            return len(granted), fleet.log.appends
+
+        granted, appends = _run(use)
+        self.assertThat(granted, Equals(300))
+        self.assertThat(appends <= 6, Equals(True))
+
+    @given(st.sets(st.text("abc", min_size=1), min_size=2, max_size=8), st.data())
+    @example({"a", "b"}, None)
+    def test_homes_move_only_with_their_node(self, nodes: set[str], data: Any) -> None:
+        """Guards against a lost node that moves keys of other homes."""
+        gone = data.draw(st.sampled_from(sorted(nodes))) if data else "a"
+        for partition in range(64):
+            home = home_node(partition, nodes)
+            if home != gone:
+                assert home_node(partition, nodes - {gone}) == home
+
+    def test_accounts_do_not_share_keys(self) -> None:
+        """Guards against an answer of one account given to another."""
+        digests = {key_digest("a", "1k"), key_digest("a1", "k"), key_digest("", "k")}
+        self.assertThat(len(digests), Equals(3))
