--- a/siskinlug/entry.py
+++ b/siskinlug/entry.py
@@ -1,9 +1,18 @@
 """Entry role: match the route, pick a target, keep the deadline, give the verdict."""
 
+import asyncio
 import secrets
 from collections import deque
-from collections.abc import AsyncIterator, Awaitable, Callable, Mapping, Sequence
+from collections.abc import (
+    AsyncIterator,
+    Awaitable,
+    Callable,
+    Iterable,
+    Mapping,
+    Sequence,
+)
 from contextlib import asynccontextmanager
+from functools import partial
 from statistics import median
 from typing import NamedTuple
 
@@ -22,12 +31,22 @@
 from siskinlug.directory import Directory, NodeRecord, TargetRecord
 from siskinlug.exchange import Answer, RequestHead, end_to_end, exchange
 from siskinlug.inbound import Inbound, send_refusal, stream_answer
+from siskinlug.links import Links, link_up
 from siskinlug.load import LoadReport, decode_load
 from siskinlug.logs import log_event
 from siskinlug.metrics import Metrics
 from siskinlug.owner import AttemptRequest, Owner, load_of, open_attempt
+from siskinlug.paths import (
+    Paths,
+    first_byte_bound_s,
+    note_answer,
+    note_path_failure,
+    penalty_ms,
+    usable,
+)
 from siskinlug.quarantine import fingerprint_of
 from siskinlug.retries import (
+    FREE_REASONS,
     RetryBudget,
     make_retry_budget,
     may_retry,
@@ -43,6 +62,10 @@
 DEADLINE_MARGIN_S = 0.005
 RECENT_SERVICE_TIMES = 64
 MIN_BASELINE_SAMPLES = 8
+ANSWER_GRACE_S = 0.2
+AVOID_S = 1.0
+# A target behind a link whose last heartbeat failed is a last resort.
+LINK_DOWN_PENALTY_MS = 1000.0
 
 
 class Request(NamedTuple):
@@ -67,8 +90,20 @@
 
 
 Choose = Callable[[Sequence[Candidate]], Candidate | None]
-# From the owner, the attempt and the time it was sent to what became of it.
-CancelAttempt = Callable[[NodeRecord, str, float], Awaitable[Verdict]]
+
+
+class EntryPeers(NamedTuple):
+    """What an entry asks owners, each over a new connection.
+
+    Attributes:
+        cancel_attempt: From the owner, the attempt and the time it was sent to what
+            became of it.
+        attempt_state: From the owner and the attempt to ``unknown``, ``running`` or
+            ``ended``, or ``None`` if the owner did not answer.
+    """
+
+    cancel_attempt: Callable[[NodeRecord, str, float], Awaitable[Verdict]]
+    attempt_state: Callable[[NodeRecord, str], Awaitable[str | None]]
 
 
 class Entry:
@@ -82,8 +117,9 @@
         connections: ConnectionPool,
         tables: Callable[[], Tables],
         choose: Choose,
-        penalty_ms: Callable[[str, str], float],
-        cancel_attempt: CancelAttempt,
+        paths: Paths,
+        links: Links,
+        peers: EntryPeers,
         token: str,
         metrics: Metrics,
         monotonic: Callable[[], float],
@@ -95,8 +131,9 @@
         self.connections = connections
         self.tables = tables
         self.choose = choose
-        self.penalty_ms = penalty_ms
-        self.cancel_attempt = cancel_attempt
+        self.paths = paths
+        self.links = links
+        self.peers = peers
         self.token = token
         self.metrics = metrics
         self.monotonic = monotonic
@@ -105,6 +142,7 @@
         self.load_by_target: dict[str, tuple[LoadReport, float]] = {}
         self.budget_by_pool: dict[str, RetryBudget] = {}
         self.recent_by_route: dict[str, deque[float]] = {}
+        self.avoid_until_by_target: dict[str, float] = {}
         self.count = 0
 
 
@@ -265,6 +303,7 @@
                 return None
             refusal = result.failure()
         attempted.append(Attempted(candidate.target, candidate.node, refusal))
+        _avoid(entry, candidate.target, refusal)
         entry.metrics.attempts.add(
             1, {"route": request.route.name, "outcome": refusal.reason.value}
         )
@@ -330,28 +369,45 @@
     now = entry.monotonic()
     own = entry.directory.own
     found = []
-    for node in entry.directory.alive():
-        if node.state != "alive":
+    for node, target in _members(entry.directory, pool):
+        if node.state != "alive" or target.state != "ready":
+            continue
+        if "*" in target.ejected or route.name in target.ejected:
             continue
+        load, load_at = _load(entry, node, target, now)
+        found.append(
+            Candidate(
+                target=target.target,
+                node=node.node,
+                distance=distance(own, node),
+                weight=pool.weight_by_domain.get(node.failure_domain, 1.0),
+                slots=min(target.slots, pool.slots or target.slots),
+                load=load,
+                load_age_s=now - load_at,
+                penalty_ms=_path_penalty_ms(entry, node.node),
+            )
+        )
+    return usable(entry.paths, found, pool.floor_slots)
+
+
+def _members(
+    directory: Directory, pool: Pool
+) -> Iterable[tuple[NodeRecord, TargetRecord]]:
+    """Return the targets of a pool, each at the owner it moved to last."""
+    newest_by_target: dict[str, tuple[NodeRecord, TargetRecord]] = {}
+    for node in directory.alive():
         for target in node.targets:
-            if not belongs(pool, node, target) or target.state != "ready":
+            if not belongs(pool, node, target):
                 continue
-            if "*" in target.ejected or route.name in target.ejected:
-                continue
-            load, load_at = _load(entry, node, target, now)
-            found.append(
-                Candidate(
-                    target=target.target,
-                    node=node.node,
-                    distance=distance(own, node),
-                    weight=pool.weight_by_domain.get(node.failure_domain, 1.0),
-                    slots=min(target.slots, pool.slots or target.slots),
-                    load=load,
-                    load_age_s=now - load_at,
-                    penalty_ms=entry.penalty_ms(node.node, route.name),
-                )
-            )
-    return found
+            held = newest_by_target.get(target.target)
+            if held is None or target.epoch > held[1].epoch:
+                newest_by_target[target.target] = (node, target)
+    return newest_by_target.values()
+
+
+def _path_penalty_ms(entry: Entry, node: str) -> float:
+    down = link_up(entry.links, node) is False
+    return penalty_ms(entry.paths, node) + (LINK_DOWN_PENALTY_MS if down else 0.0)
 
 
 def _load(
@@ -367,7 +423,22 @@
 ) -> Candidate | None:
     tried = {attempt.target for attempt in attempted}
     found = candidates(entry, request.route, request.pool)
-    return entry.choose([c for c in found if c.target not in tried])
+    left = [c for c in found if c.target not in tried]
+    now = entry.monotonic()
+    open_now = [
+        c for c in left if entry.avoid_until_by_target.get(c.target, 0.0) <= now
+    ]
+    return entry.choose(open_now or left)
+
+
+def _avoid(entry: Entry, target: str, refusal: Refusal) -> None:
+    """Pass over a target for a moment if it could not take a request at all.
+
+    Its load report shows free slots, so without this it would attract requests until
+    its owner's view has spread.
+    """
+    if refusal.verdict is Verdict.NOT_RUN and refusal.reason in FREE_REASONS:
+        entry.avoid_until_by_target[target] = entry.monotonic() + AVOID_S
 
 
 @asynccontextmanager
@@ -418,17 +489,26 @@
     )
     idle_s = IDLE_MAX_S if attempt.idempotent else NON_IDEMPOTENT_IDLE_MAX_S
     sent_at = entry.monotonic()
-    left_s = request.deadline - sent_at
+    left_s = max(0.0, request.deadline - sent_at)
+    address = (node.host, node.peer_port)
     async with open_connection(
-        entry.connections, (node.host, node.peer_port), max_idle_s=idle_s
+        entry.connections, address, max_idle_s=idle_s
     ) as connected:
         if isinstance(connected, Failure):
+            note_path_failure(entry.paths, node.node)
             yield Failure(not_run(Reason.PEER_UNREACHABLE, node.node))
             return
         async with exchange(
-            connected.unwrap(), head, inbound.body, first_byte_s=max(0.0, left_s)
+            connected.unwrap(),
+            head,
+            inbound.body,
+            first_byte_s=left_s,
+            check_after_s=first_byte_bound_s(entry.paths, attempt.route, left_s),
+            check=partial(_is_with_owner, entry, node, attempt.attempt),
         ) as result:
             if isinstance(result, Success):
+                took_s = entry.monotonic() - sent_at
+                note_answer(entry.paths, node.node, attempt.route, took_s)
                 yield _answer_or_refusal(entry, result.unwrap())
                 return
             cause = result.failure().cause
@@ -436,6 +516,23 @@
     yield Failure(await _settle(entry, node, attempt.attempt, sent_at, cause))
 
 
+async def _is_with_owner(entry: Entry, node: NodeRecord, attempt: str) -> bool:
+    """Ask over a new connection whether an attempt without an answer has arrived."""
+    state = await entry.peers.attempt_state(node, attempt)
+    if state is None:
+        note_path_failure(entry.paths, node.node)
+        # Without an answer nothing is known; the deadline bounds the wait.
+        return True
+    if state == "running":
+        return True
+    if state == "ended":
+        # The answer may be on its way.
+        await asyncio.sleep(ANSWER_GRACE_S)
+    # The new connection works and the old one lost the request or its answer.
+    entry.connections.drop_address((node.host, node.peer_port))
+    return False
+
+
 def attempt_headers(
     entry: Entry, attempt: AttemptRequest, headers: HTTPHeaders
 ) -> HTTPHeaders:
@@ -483,7 +580,9 @@
     """Ask the owner, over a new connection, what became of a lost attempt."""
     if cause == "body_cut":
         return may_have_run(Reason.CANCELLED)
-    verdict = await entry.cancel_attempt(node, attempt, sent_at)
+    if cause != "silent":
+        note_path_failure(entry.paths, node.node)
+    verdict = await entry.peers.cancel_attempt(node, attempt, sent_at)
     return Refusal(verdict, Reason.PEER_LOST, f"{node.node}: {cause}")
 
 
