--- a/siskinlug/entry.py
+++ b/siskinlug/entry.py
@@ -22,6 +22,14 @@
 from siskinlug.account_rates import AccountRates, check_rate
 from siskinlug.body import BodyCut
 from siskinlug.choice import Candidate
+from siskinlug.claims import (
+    MAX_ANSWER_BYTES,
+    Claims,
+    KeptAnswer,
+    claim,
+    key_digest,
+    settle,
+)
 from siskinlug.connections import (
     IDLE_MAX_S,
     NON_IDEMPOTENT_IDLE_MAX_S,
@@ -30,7 +38,7 @@
 )
 from siskinlug.directory import Directory, NodeRecord, TargetRecord
 from siskinlug.exchange import Answer, RequestHead, end_to_end, exchange
-from siskinlug.inbound import Inbound, send_refusal, stream_answer
+from siskinlug.inbound import Inbound, send_answer, send_refusal, stream_answer
 from siskinlug.links import Links, link_up
 from siskinlug.load import LoadReport, decode_load
 from siskinlug.logs import log_event
@@ -64,6 +72,7 @@
 MIN_BASELINE_SAMPLES = 8
 ANSWER_GRACE_S = 0.2
 AVOID_S = 1.0
+MAX_KEY_CHARS = 256
 # A target behind a link whose last heartbeat failed is a last resort.
 LINK_DOWN_PENALTY_MS = 1000.0
 
@@ -78,6 +87,7 @@
     long_work: bool
     deadline: float
     fingerprint: str
+    key: str
     head: RequestHead
 
 
@@ -125,6 +135,7 @@
         monotonic: Callable[[], float],
         service_times: ServiceTimes,
         account_rates: AccountRates,
+        claims: Claims,
     ) -> None:
         self.directory = directory
         self.owner = owner
@@ -139,6 +150,7 @@
         self.monotonic = monotonic
         self.service_times = service_times
         self.account_rates = account_rates
+        self.claims = claims
         self.load_by_target: dict[str, tuple[LoadReport, float]] = {}
         self.budget_by_pool: dict[str, RetryBudget] = {}
         self.recent_by_route: dict[str, deque[float]] = {}
@@ -171,7 +183,7 @@
         else:
             request = matched.unwrap()
             route_name, pool_name = request.route.name, request.pool.name
-            refusal = await _run_attempts(entry, inbound, request, attempted)
+            refusal = await _run_once(entry, inbound, request, attempted)
         if refusal is not None:
             verdict, reason = refusal.verdict, refusal.reason.value
             await send_refusal(inbound, refusal, request_id=request_id)
@@ -243,6 +255,10 @@
     # A small body is read whole first, so that a slow caller holds no slot.
     await inbound.body.wait_whole()
     key = head.headers.get("Idempotency-Key", "")
+    if len(key) > MAX_KEY_CHARS:
+        detail = f"Idempotency-Key is longer than {MAX_KEY_CHARS} characters"
+        return Failure(not_run(Reason.BAD_REQUEST, detail))
+    named = f"{account}:{key}" if key else ""
     return Success(
         Request(
             request_id=request_id,
@@ -252,7 +268,8 @@
             long_work=route.work == "long"
             or (route.work == "learned" and is_long(entry.service_times, route.name)),
             deadline=started_at + route.timeout_s,
-            fingerprint=fingerprint_of(key, head.method, head.path, inbound.body),
+            fingerprint=fingerprint_of(named, head.method, head.path, inbound.body),
+            key=key,
             head=RequestHead(
                 head.method, head.path, _headers_for_target(inbound, request_id)
             ),
@@ -279,8 +296,74 @@
     return headers
 
 
-async def _run_attempts(
+async def _run_once(
     entry: Entry, inbound: Inbound, request: Request, attempted: list[Attempted]
+) -> Refusal | None:
+    """Run a request, under a claim of its idempotency key if it has one."""
+    if not request.key or request.route.idempotent:
+        return await _run_attempts(entry, inbound, request, attempted, KeptCopy(0))
+    claimed = await claim(
+        entry.claims,
+        key_digest(request.account, request.key),
+        fingerprint_of("", request.head.method, request.head.path, inbound.body),
+        _new_id(entry),
+        request.route,
+    )
+    if isinstance(claimed, Failure):
+        return claimed.failure()
+    held = claimed.unwrap()
+    if held.answer is not None:
+        await _send_kept(inbound, held.answer, request.request_id)
+        return None
+    verdict = Verdict.MAY_HAVE_RUN
+    copy = KeptCopy(MAX_ANSWER_BYTES)
+    try:
+        refusal = await _run_attempts(entry, inbound, request, attempted, copy)
+        verdict = Verdict.RAN if refusal is None else refusal.verdict
+        return refusal
+    finally:
+        headers = list(copy.headers.get_all())
+        await settle(held, verdict, copy.status, headers, copy.whole_body())
+
+
+async def _send_kept(inbound: Inbound, kept: KeptAnswer, request_id: str) -> None:
+    headers = HTTPHeaders()
+    for name, value in kept["headers"]:
+        headers.add(name, value)
+    headers["X-Request-Id"] = request_id
+    headers["Idempotent-Replayed"] = "true"
+    await send_answer(inbound, kept["status"], headers, kept["body"])
+
+
+class KeptCopy:
+    """Copy of an answer on its way to the caller, if it is small enough to keep."""
+
+    def __init__(self, limit_bytes: int) -> None:
+        self.limit_bytes = limit_bytes
+        self.status = 0
+        self.headers = HTTPHeaders()
+        self._chunks: list[bytes] | None = []
+        self._size = 0
+
+    def add(self, chunk: bytes) -> None:
+        """Take a part of the body as it is passed on."""
+        self._size += len(chunk)
+        if self._chunks is not None:
+            self._chunks.append(chunk)
+            if self._size > self.limit_bytes:
+                self._chunks = None
+
+    def whole_body(self) -> bytes | None:
+        """Return the body, or ``None`` if it was too large."""
+        return None if self._chunks is None else b"".join(self._chunks)
+
+
+async def _run_attempts(
+    entry: Entry,
+    inbound: Inbound,
+    request: Request,
+    attempted: list[Attempted],
+    copy: KeptCopy,
 ) -> Refusal | None:
     """Try targets until one answers or a refusal is final.
 
@@ -298,7 +381,9 @@
         async with _open(entry, inbound, request, candidate) as result:
             if isinstance(result, Success):
                 attempted.append(Attempted(candidate.target, candidate.node, None))
-                await _pass_on(entry, inbound, request, candidate, result.unwrap())
+                await _pass_on(
+                    entry, inbound, request, candidate, result.unwrap(), copy
+                )
                 note_success(budget)
                 return None
             refusal = result.failure()
@@ -592,6 +677,7 @@
     request: Request,
     candidate: Candidate,
     answer: Answer,
+    copy: KeptCopy,
 ) -> None:
     """Pass an answer on and learn its service time."""
     for name in [name for name in answer.headers if name.startswith("Siskinlug-")]:
@@ -600,7 +686,8 @@
         del answer.headers[name]
     extra = HTTPHeaders({"Siskinlug-Served-By": candidate.target})
     extra["X-Request-Id"] = request.request_id
-    await stream_answer(inbound, answer, extra)
+    copy.status, copy.headers = answer.status, end_to_end(answer.headers)
+    await stream_answer(inbound, answer, extra, observe=copy.add)
     entry.metrics.attempts.add(
         1, {"route": request.route.name, "outcome": f"{answer.status // 100}xx"}
     )
--- a/siskinlug/inbound.py
+++ b/siskinlug/inbound.py
@@ -209,7 +209,11 @@
 
 
 async def stream_answer(
-    inbound: Inbound, answer: Answer, extra: HTTPHeaders | None = None
+    inbound: Inbound,
+    answer: Answer,
+    extra: HTTPHeaders | None = None,
+    *,
+    observe: Callable[[bytes], None] = lambda _chunk: None,
 ) -> int:
     """Pass an answer on as it arrives.
 
@@ -217,6 +221,7 @@
         inbound: The request being answered.
         answer: The answer of a target or another node.
         extra: Headers to add.
+        observe: Called with each part of the body.
 
     Returns:
         Bytes of the body passed on.
@@ -238,6 +243,7 @@
         head_written = False
         async for chunk in answer.body.chunks():
             sent_bytes += len(chunk)
+            observe(chunk)
             if head_written:
                 await inbound.connection.write(chunk)
             else:
--- a/siskinlug/node.py
+++ b/siskinlug/node.py
@@ -28,6 +28,14 @@
 )
 from siskinlug.attempts import cancel, confirm, make_attempts, state_of
 from siskinlug.choice import make_choice
+from siskinlug.claims import (
+    ClaimsAnswer,
+    ClaimsRequest,
+    close_claims,
+    home_node,
+    make_claims,
+    serve_claims,
+)
 from siskinlug.clock import HybridClock, wall_clock_ms
 from siskinlug.config_sync import (
     answer_configuration,
@@ -93,6 +101,7 @@
 LEAVE_QUIET_S = 0.5
 CANCEL_TIMEOUT_S = 1.0
 PROMISES_PATH = "/peer/promises"
+CLAIMS_PATH = "/peer/claims"
 CONFIGURATION_PATH = "/peer/configuration"
 
 MessageT = TypeVar("MessageT")
@@ -157,6 +166,16 @@
             ],
         )
         self.watch = _make_watch(self)
+        self.claims = make_claims(
+            node=settings.name,
+            incarnation=self.incarnation,
+            append=self.log.append,
+            read=self.log.read,
+            home_of=self._home_of,
+            call_home=self._call_home,
+            monotonic=self.monotonic,
+            wall_ms=wall_clock_ms,
+        )
         self.entry = Entry(
             directory=self.membership.directory,
             owner=self.owner,
@@ -171,6 +190,7 @@
             monotonic=self.monotonic,
             service_times=make_service_times(monotonic=self.monotonic),
             account_rates=make_account_rates(monotonic=self.monotonic),
+            claims=self.claims,
         )
         self.server_by_port: dict[str, InboundServer] = {}
 
@@ -210,6 +230,27 @@
             queue_wait_s=min((pool.queue_wait_s for pool in pools), default=0.0),
         )
 
+    def _home_of(self, partition: int) -> str:
+        alive = [r.node for r in self.membership.others() if r.state == "alive"]
+        if not self.owner.leaving:
+            alive.append(self.settings.name)
+        return home_node(partition, alive)
+
+    async def _call_home(
+        self, home: str, request: ClaimsRequest
+    ) -> ClaimsAnswer | None:
+        peer = self.membership.directory.record_by_node.get(home)
+        if peer is None:
+            return None
+        result = await call_peer(
+            self.peer_client,
+            (peer.host, peer.peer_port),
+            CLAIMS_PATH,
+            request,
+            ClaimsAnswer,
+        )
+        return result.value_or(None)
+
     async def _cancel_attempt(
         self, peer: NodeRecord, attempt: str, sent_at: float
     ) -> Verdict:
@@ -372,7 +413,11 @@
     async def attempt_state(message: AttemptQuery) -> AttemptState:
         return AttemptState(state=state_of(node.attempts, message["attempt"]))
 
+    async def claims(message: ClaimsRequest) -> ClaimsAnswer:
+        return await serve_claims(node.claims, message)
+
     handler_by_path = {
+        CLAIMS_PATH: _message_handler(ClaimsRequest, claims),
         "/peer/attempts/state": _message_handler(AttemptQuery, attempt_state),
         CONFIGURATION_PATH: configuration,
         PROMISES_PATH: _message_handler(PromiseRequest, promise),
@@ -456,6 +501,7 @@
     }
     async with AsyncExitStack() as stack:
         stack.callback(node.connections.close)
+        stack.push_async_callback(close_claims, node.claims)
         stack.callback(_stop_listening, node)
         _open_servers(node)
         await stack.enter_async_context(supervise(jobs))
