Pass over a home of idempotency keys that this node cannot reach

Cause: a node that reaches no other declares none dead, since it may be the one cut off, and so kept asking a dead home for claims (found by test_key_after_the_loss_of_every_node_but_one, 20 s without an answer). Two homes at once are safe because the log orders their claims. After: answered at once.

--- a/siskinlug/node.py
+++ b/siskinlug/node.py
@@ -49,6 +49,7 @@
 from siskinlug.ejection import answer_promises
 from siskinlug.entry import Entry, EntryPeers, serve_caller
 from siskinlug.inbound import InboundLimits, InboundServer, drain_server, open_server
+from siskinlug.links import link_up
 from siskinlug.log_client import open_log
 from siskinlug.logs import log_event
 from siskinlug.membership import (
@@ -231,7 +232,14 @@
         )
 
     def _home_of(self, partition: int) -> str:
-        alive = [r.node for r in self.membership.others() if r.state == "alive"]
+        # Two homes are ordered by the log, so a home that this node cannot reach is
+        # passed over before it is declared dead.
+        alive = [
+            record.node
+            for record in self.membership.others()
+            if record.state == "alive"
+            and link_up(self.membership.links, record.node) is not False
+        ]
         if not self.owner.leaving:
             alive.append(self.settings.name)
         return home_node(partition, alive)
