Answer 413 for chunked bodies, bound pauses in answers, test HTTP edges

Cause: a chunked body above body_bytes was passed on (found by test_large_body_is_told_413). Ruled out: the codec's own bound, which closes without an answer.

--- a/siskinlug/body.py
+++ b/siskinlug/body.py
@@ -1,6 +1,7 @@
 """Bodies of messages, streamed with back pressure and kept for a retry if small."""
 
 import asyncio
+import math
 from collections import deque
 from collections.abc import AsyncIterator
 
@@ -9,7 +10,7 @@
 
 
 class BodyCut(Exception):  # noqa: N818 - names the event as the field does
-    """The sender went away before the end of the body."""
+    """The sender went away before the end of the body, or sent too much."""
 
 
 class BodyStream:
@@ -17,9 +18,14 @@
 
     Args:
         replay_bytes: Bytes kept from the start, so that the body can be sent again.
+        limit_bytes: Largest body; a larger one ends as cut, with ``too_large`` set.
     """
 
-    def __init__(self, *, replay_bytes: int = 0) -> None:
+    def __init__(self, *, replay_bytes: int = 0, limit_bytes: float = math.inf) -> None:
+        self.too_large = False
+        # Time without data after which the reader takes the body for cut, in seconds.
+        self.idle_s: float | None = None
+        self._limit_bytes = limit_bytes
         self.received_bytes = 0
         self.whole = False
         self.cut = False
@@ -42,7 +48,13 @@
 
     def feed(self, chunk: bytes) -> asyncio.Future[None] | None:
         """Add data; the future returned, if any, resolves when there is room."""
+        if self.cut:
+            return None
         self.received_bytes += len(chunk)
+        if self.received_bytes > self._limit_bytes:
+            self.too_large = True
+            self.cut_off()
+            return None
         if self.can_replay:
             self._kept.append(chunk)
         self._waiting.append(chunk)
@@ -54,8 +66,8 @@
         return self._room
 
     def finish(self) -> None:
-        """Mark the body as received whole."""
-        self.whole = True
+        """Mark the body as received whole, unless it was cut."""
+        self.whole = not self.cut
         self._changed.set()
 
     def cut_off(self) -> None:
@@ -107,7 +119,11 @@
             if self.cut:
                 raise BodyCut
             self._changed.clear()
-            await self._changed.wait()
+            try:
+                async with asyncio.timeout(self.idle_s):
+                    await self._changed.wait()
+            except TimeoutError:
+                self.cut_off()
 
     def _release(self) -> None:
         if self._room is not None and not self._room.done():
--- a/siskinlug/entry.py
+++ b/siskinlug/entry.py
@@ -392,6 +392,9 @@
         entry.metrics.attempts.add(
             1, {"route": request.route.name, "outcome": refusal.reason.value}
         )
+        if inbound.body.too_large:
+            # A target may have begun to work on the part that it got.
+            return may_have_run(Reason.BODY_TOO_LARGE)
         if not _may_try_again(entry, inbound, request, refusal, attempted, budget):
             return refusal
         entry.metrics.retries.add(1, {"pool": request.pool.name})
--- a/siskinlug/exchange.py
+++ b/siskinlug/exchange.py
@@ -23,6 +23,8 @@
 
 MAX_ANSWER_HEAD_BYTES = 131_072
 CHUNK_BYTES = 65_536
+# Longest pause within the body of an answer; its head is bounded by the route.
+ANSWER_IDLE_S = 60.0
 # The codec's own bound lies far above any answer; the length is checked by framing.
 _MAX_ANSWER_BODY_BYTES = 1 << 50
 
@@ -76,6 +78,7 @@
 class _AnswerDelegate(HTTPMessageDelegate):
     def __init__(self) -> None:
         self.body = BodyStream()
+        self.body.idle_s = ANSWER_IDLE_S
         self.head: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
         self.interim: asyncio.Event = asyncio.Event()
 
--- a/siskinlug/inbound.py
+++ b/siskinlug/inbound.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from typing import NamedTuple
 
 from absl import logging
@@ -83,7 +84,10 @@
         self._server = server
         self._connection = connection
         self._remote_ip = remote_ip
-        self._body = BodyStream(replay_bytes=server.limits.replay_bytes)
+        self._body = BodyStream(
+            replay_bytes=server.limits.replay_bytes,
+            limit_bytes=server.limits.body_bytes,
+        )
         self._task: asyncio.Task[None] | None = None
 
     def headers_received(
@@ -143,7 +147,9 @@
             await send_refusal(inbound, problem, request_id="")
         else:
             await server.serve(inbound)
-    except (StreamClosedError, BodyCut, asyncio.CancelledError):
+    except BodyCut:
+        await _end_cut_request(server, inbound)
+    except (StreamClosedError, asyncio.CancelledError):
         break_connection(inbound)
     except Exception as error:
         log_event(
@@ -157,6 +163,17 @@
         inbound.body.discard()
 
 
+async def _end_cut_request(server: InboundServer, inbound: Inbound) -> None:
+    """Tell a caller that its body is too large, or break the connection."""
+    if inbound.answered_status or not inbound.body.too_large:
+        break_connection(inbound)
+        return
+    limit = server.limits.body_bytes
+    refusal = not_run(Reason.BODY_TOO_LARGE, f"the limit is {limit} bytes")
+    with suppress(StreamClosedError):
+        await send_refusal(inbound, refusal, request_id="")
+
+
 async def _send_internal_error(inbound: Inbound) -> None:
     if inbound.answered_status:
         break_connection(inbound)
--- /dev/null
+++ b/tests/test_http_edges.py
@@ -0,0 +1,179 @@
+"""Shapes of HTTP messages on the caller port, sent as raw bytes."""
+
+import socket
+from contextlib import suppress
+
+import pytest
+import testtools
+from testtools.matchers import Contains, Equals, LessThan, Not, StartsWith
+
+from bench.fleet import (
+    CALLER_PORT,
+    Fleet,
+    NodeSpec,
+    TargetSpec,
+    call,
+    open_fleet,
+)
+from bench.hops import resident_mb
+from tests.fleet_load import POOLS, ROUTES, TARGET_PORT
+
+pytestmark = pytest.mark.processes
+
+LIMITS = "[limits]\nheader_bytes = 8192\nbody_bytes = 100000\n"
+
+
+class HttpEdgesTest(testtools.TestCase):
+    fleet: Fleet
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        super().setUpClass()
+        manager = open_fleet()
+        cls.fleet = manager.__enter__()
+        cls.addClassCleanup(manager.__exit__, None, None, None)
+        cls.fleet.start_log()
+        for number in (1, 2):
+            node = NodeSpec(number, f"domain-{number}")
+            cls.fleet.start_node(node, seeds=(1, 2), extra=LIMITS)
+        target = TargetSpec("work-1", "work", 4, 1)
+        cls.fleet.start_target(target, port=TARGET_PORT)
+        cls.fleet.wait_joined(targets=1)
+        cls.fleet.put_tables(pools=POOLS.replace("= 4\n", "= 0\n", 1), routes=ROUTES)
+
+    def _raw(self, data: bytes, *, node: int = 2) -> bytes:
+        """Send bytes and return all that comes until the connection closes."""
+        address = (self.fleet.host(node), CALLER_PORT)
+        received = b""
+        with socket.create_connection(address, timeout=2.0) as connection:
+            connection.sendall(data)
+            with suppress(TimeoutError, ConnectionResetError):
+                while chunk := connection.recv(65536):
+                    received += chunk
+        return received
+
+    def _faults(self, body: bytes) -> None:
+        reply = call(
+            self.fleet.host(1), TARGET_PORT, "POST", "/control/faults", body=body
+        )
+        self.assertThat(reply.status, Equals(200))
+
+    def test_both_lengths_are_refused(self) -> None:
+        """Guards against request smuggling by Content-Length and chunks."""
+        answer = self._raw(
+            b"POST /book HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /read HTTP/1.1\r\n"
+            b"Host: x\r\n\r\n"
+        )
+        self.assertThat(answer, Not(Contains(b" 200 ")))
+
+    def test_bad_chunk_size_is_refused(self) -> None:
+        """Guards against two readings of one chunk size."""
+        for size in (b"0x5", b"+5", b"5 ", b"-5", b"zz"):
+            answer = self._raw(
+                b"POST /book HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"
+                b"\r\n" + size + b"\r\nhello\r\n0\r\n\r\n"
+            )
+            self.assertThat(answer, Not(Contains(b" 200 ")), size)
+
+    def test_conflicting_lengths_are_refused(self) -> None:
+        """Guards against two Content-Length headers that differ."""
+        answer = self._raw(
+            b"POST /book HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n"
+            b"Content-Length: 6\r\n\r\nhello!"
+        )
+        self.assertThat(answer, Not(Contains(b" 200 ")))
+
+    def test_folded_header_is_refused(self) -> None:
+        """Guards against headers that the next server reads differently."""
+        answer = self._raw(
+            b"GET /read HTTP/1.1\r\nHost: x\r\nX-Account: a\r\n b\r\n\r\n"
+        )
+        self.assertThat(answer, Not(Contains(b" 200 ")))
+
+    def test_large_head_is_told_431(self) -> None:
+        """Guards against a head above the limit that gets no answer."""
+        pad = b"a" * 9000
+        answer = self._raw(
+            b"GET /read HTTP/1.1\r\nHost: x\r\nX-Pad: " + pad + b"\r\n\r\n"
+        )
+        self.assertThat(answer, StartsWith(b"HTTP/1.1 431"))
+
+    def test_large_body_is_told_413(self) -> None:
+        """Guards against bodies above the limit, with a length or in chunks."""
+        answer = self._raw(
+            b"POST /book HTTP/1.1\r\nHost: x\r\nContent-Length: 200000\r\n\r\n"
+        )
+        self.assertThat(answer, StartsWith(b"HTTP/1.1 413"))
+        chunk = b"1000\r\n" + b"a" * 4096 + b"\r\n"
+        answer = self._raw(
+            b"POST /book HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+            + chunk * 30
+            + b"0\r\n\r\n"
+        )
+        self.assertThat(answer, StartsWith(b"HTTP/1.1 413"))
+
+    def test_chunked_body_reaches_the_target_whole(self) -> None:
+        """Guards against a body that is lost when its framing changes."""
+        answer = self._raw(
+            b"POST /book?bytes=10 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n"
+        )
+        reference = self.fleet.request(1, "POST", "/book?bytes=10", body=b"hello world")
+        digest = reference.headers["X-Body-Digest"].encode()
+        self.assertThat(answer, Contains(digest))
+
+    def test_expect_100_continue(self) -> None:
+        """Guards against a caller that waits for leave to send its body."""
+        address = (self.fleet.host(2), CALLER_PORT)
+        with socket.create_connection(address, timeout=5.0) as connection:
+            connection.sendall(
+                b"POST /book HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n"
+                b"Expect: 100-continue\r\nConnection: close\r\n\r\n"
+            )
+            self.assertThat(connection.recv(100), StartsWith(b"HTTP/1.1 100"))
+            connection.sendall(b"hello")
+            received = b""
+            while chunk := connection.recv(65536):
+                received += chunk
+        self.assertThat(received, StartsWith(b"HTTP/1.1 200"))
+
+    def test_pipelined_requests_are_answered_in_order(self) -> None:
+        """Guards against answers that are mixed up on one connection."""
+        requests = b"".join(
+            b"GET /read?bytes=40&ms=%d HTTP/1.1\r\nHost: x\r\nX-Request-Id: id-%d\r\n"
+            b"%s\r\n" % (30 - 10 * n, n, b"Connection: close\r\n" if n == 2 else b"")
+            for n in range(3)
+        )
+        answer = self._raw(requests)
+        places = [answer.index(b"id-%d;" % n) for n in range(3)]
+        self.assertThat(places, Equals(sorted(places)))
+
+    def test_cut_answer_breaks_the_connection(self) -> None:
+        """Guards against a cut answer that looks whole to the caller."""
+        self._faults(b'{"cut_ratio": 1.0}')
+        try:
+            answer = self._raw(b"GET /read?bytes=50000 HTTP/1.1\r\nHost: x\r\n\r\n")
+        finally:
+            self._faults(b'{"cut_ratio": 0.0}')
+        head, _, body = answer.partition(b"\r\n\r\n")
+        self.assertThat(head, StartsWith(b"HTTP/1.1 200"))
+        self.assertThat(head, Contains(b"Content-Length: 50000"))
+        self.assertThat(len(body), LessThan(50000))
+
+    def test_large_download_does_not_grow_memory(self) -> None:
+        """Guards against answers that are held in memory for a slow caller."""
+        before_mb = resident_mb(self.fleet, "node-2")
+        size = 200_000_000
+        address = (self.fleet.host(2), CALLER_PORT)
+        with socket.create_connection(address, timeout=20.0) as connection:
+            connection.sendall(
+                b"GET /read?bytes=%d HTTP/1.1\r\nHost: x\r\n"
+                b"Connection: close\r\n\r\n" % size
+            )
+            received = 0
+            while chunk := connection.recv(1 << 20):
+                received += len(chunk)
+        self.assertThat(received - size, LessThan(2000))
+        self.assertThat(received >= size, Equals(True))
+        self.assertThat(resident_mb(self.fleet, "node-2") - before_mb, LessThan(8.0))
