Guard further rules of claims and harden a second outcome

With one rule removed at a time in a scratch copy, these went unnoticed and are now caught: a lost append of an outcome, a second outcome of a claim, a key of another request after it ran, spacing of appends. A release that follows a known outcome is ignored. A home that has not read its partition no longer reads it before it appends, since reading back does that.

Command: pytest tests/test_claims.py

--- a/siskinlug/claims.py
+++ b/siskinlug/claims.py
@@ -530,7 +530,7 @@
 async def _grant(claims: Claims, ask: ClaimAsk) -> ClaimsAnswer:
     partition = claims.partition(ask["key"])
     reached = claims.monotonic() >= partition.down_until
-    if not partition.loaded or partition.view(ask["key"]):
+    if partition.view(ask["key"]):
         # A key that seems free is decided by the append; any other answer must not
         # rest on an old state, since another home may have freed the key.
         reached = await _refresh(claims, partition)
@@ -652,6 +652,8 @@
         del partition.waiting[note["key"]]
         waiter.resolve(False)
         return
+    if note["claim"] in partition.verdict_by_claim:
+        return
     partition.verdict_by_claim[note["claim"]] = Verdict.NOT_RUN
     partition.add_note(["s", note["key"], note["claim"], note["verdict"]])
     _start_flushing(claims, partition)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -251,6 +251,9 @@
             await settle(first.unwrap(), Verdict.RAN, 200, [("A", "b")], b"body")
             await asyncio.sleep(2.0)
             repeat = await fleet.ask("n2", _KEYS[0], "c4")
+            late_other = await claim(
+                fleet.claims["n2"], _KEYS[0], "other print", "c6", _route()
+            )
             await fleet.crash("n0")
             fleet.home_by_view = dict.fromkeys(_NODES, "n2")
             moved = await fleet.ask("n1", _KEYS[0], "c5")
@@ -260,7 +263,8 @@
                 "headers": [("A", "b")],
                 "body": b"body",
             }
-            return [_verdict(r) for r in (first, running, other, repeat, moved)]
+            results = (first, running, other, repeat, late_other, moved)
+            return [_verdict(result) for result in results]
 
         self.assertThat(
             _run(use),
@@ -270,6 +274,7 @@
                     (Verdict.MAY_HAVE_RUN, Reason.KEY_CLAIMED),
                     (Verdict.NOT_RUN, Reason.KEY_MISMATCH),
                     "answered",
+                    (Verdict.NOT_RUN, Reason.KEY_MISMATCH),
                     (Verdict.RAN, Reason.KEY_CLAIMED),
                 ]
             ),
@@ -289,6 +294,22 @@
 
         self.assertThat(_run(use), Equals((Verdict.MAY_HAVE_RUN, Reason.KEY_CLAIMED)))
 
+    def test_an_outcome_is_recorded_once(self) -> None:
+        """Guards against a lost append of an outcome, and against a second outcome."""
+
+        async def use(fleet: Fleet) -> Any:
+            held = (await fleet.ask("n0", _KEYS[0], "c1")).unwrap()
+            fleet.log.lose_next = 1
+            await settle(held, Verdict.RAN, 200, (), None)
+            await asyncio.sleep(3.0)
+            again = Claim(fleet.claims["n1"], _KEYS[0], "c1", None)
+            await settle(again, Verdict.NOT_RUN, 0, (), None)
+            await asyncio.sleep(3.0)
+            fleet.home_by_view = dict.fromkeys(_NODES, "n2")
+            return _verdict(await fleet.ask("n2", _KEYS[0], "c2"))
+
+        self.assertThat(_run(use), Equals((Verdict.RAN, Reason.KEY_CLAIMED)))
+
     def test_a_key_that_was_not_run_is_free_at_every_home(self) -> None:
         """Guards against a home that refuses by a state that is out of date."""
 
@@ -396,6 +417,21 @@
         self.assertThat(granted, Equals(300))
         self.assertThat(appends <= 6, Equals(True))
 
+    def test_appends_are_spaced(self) -> None:
+        """Guards against an append for each claim of a steady load."""
+
+        async def use(fleet: Fleet) -> int:
+            asked = []
+            for number in range(100):
+                key = f"00000000{number:024x}"
+                asked.append(asyncio.ensure_future(fleet.ask("n1", key, key)))
+                await asyncio.sleep(0.05)
+            results = await asyncio.gather(*asked)
+            assert all(isinstance(result, Success) for result in results)
+            return fleet.log.appends
+
+        self.assertThat(_run(use) <= 22, Equals(True))
+
     @given(st.sets(st.text("abc", min_size=1), min_size=2, max_size=8), st.data())
     @example({"a", "b"}, None)
     def test_homes_move_only_with_their_node(self, nodes: set[str], data: Any) -> None:
