--- a/siskinlug/attempts.py
+++ b/siskinlug/attempts.py
@@ -152,7 +152,8 @@
 
     Args:
         attempts: The records.
-        attempt: Id of the attempt, never used for another one.
+        attempt: Id of the attempt. An entry sends an id once; a second arrival is
+            recognised as long as the first one is recorded.
         on_cancel: Called at most once when the attempt is cancelled before it is
             finished, to wake the task that waits in the queue or for the target.
 
@@ -203,6 +204,13 @@
     attempts.finished.add(attempt, verdict)
 
 
+def state_of(attempts: Attempts, attempt: str) -> str:
+    """Return ``unknown``, ``running`` (also queued) or ``ended``."""
+    if attempt in attempts.started_by_attempt:
+        return "running"
+    return "unknown" if attempts.verdict(attempt) is None else "ended"
+
+
 def cancel(attempts: Attempts, attempt: str, incarnation: int) -> Verdict:
     """Cancel an attempt for an entry that lost its answer.
 
--- a/siskinlug/entry.py
+++ b/siskinlug/entry.py
@@ -1,9 +1,18 @@
 """Entry role: match the route, pick a target, keep the deadline, give the verdict."""
 
+import asyncio
 import secrets
 from collections import deque
-from collections.abc import AsyncIterator, Awaitable, Callable, Mapping, Sequence
+from collections.abc import (
+    AsyncIterator,
+    Awaitable,
+    Callable,
+    Iterable,
+    Mapping,
+    Sequence,
+)
 from contextlib import asynccontextmanager
+from functools import partial
 from statistics import median
 from typing import NamedTuple
 
@@ -13,6 +22,14 @@
 from siskinlug.account_rates import AccountRates, check_rate
 from siskinlug.body import BodyCut
 from siskinlug.choice import Candidate
+from siskinlug.claims import (
+    MAX_ANSWER_BYTES,
+    Claims,
+    KeptAnswer,
+    claim,
+    key_digest,
+    settle,
+)
 from siskinlug.connections import (
     IDLE_MAX_S,
     NON_IDEMPOTENT_IDLE_MAX_S,
@@ -21,13 +38,23 @@
 )
 from siskinlug.directory import Directory, NodeRecord, TargetRecord
 from siskinlug.exchange import Answer, RequestHead, end_to_end, exchange
-from siskinlug.inbound import Inbound, send_refusal, stream_answer
+from siskinlug.inbound import Inbound, send_answer, send_refusal, stream_answer
+from siskinlug.links import Links, link_up
 from siskinlug.load import LoadReport, decode_load
 from siskinlug.logs import log_event
 from siskinlug.metrics import Metrics
 from siskinlug.owner import AttemptRequest, Owner, load_of, open_attempt
+from siskinlug.paths import (
+    Paths,
+    first_byte_bound_s,
+    note_answer,
+    note_path_failure,
+    penalty_ms,
+    usable,
+)
 from siskinlug.quarantine import fingerprint_of
 from siskinlug.retries import (
+    FREE_REASONS,
     RetryBudget,
     make_retry_budget,
     may_retry,
@@ -43,6 +70,11 @@
 DEADLINE_MARGIN_S = 0.005
 RECENT_SERVICE_TIMES = 64
 MIN_BASELINE_SAMPLES = 8
+ANSWER_GRACE_S = 0.2
+AVOID_S = 1.0
+MAX_KEY_CHARS = 256
+# A target behind a link whose last heartbeat failed is a last resort.
+LINK_DOWN_PENALTY_MS = 1000.0
 
 
 class Request(NamedTuple):
@@ -55,6 +87,7 @@
     long_work: bool
     deadline: float
     fingerprint: str
+    key: str
     head: RequestHead
 
 
@@ -67,8 +100,20 @@
 
 
 Choose = Callable[[Sequence[Candidate]], Candidate | None]
-# From the owner, the attempt and the time it was sent to what became of it.
-CancelAttempt = Callable[[NodeRecord, str, float], Awaitable[Verdict]]
+
+
+class EntryPeers(NamedTuple):
+    """What an entry asks owners, each over a new connection.
+
+    Attributes:
+        cancel_attempt: From the owner, the attempt and the time it was sent to what
+            became of it.
+        attempt_state: From the owner and the attempt to ``unknown``, ``running`` or
+            ``ended``, or ``None`` if the owner did not answer.
+    """
+
+    cancel_attempt: Callable[[NodeRecord, str, float], Awaitable[Verdict]]
+    attempt_state: Callable[[NodeRecord, str], Awaitable[str | None]]
 
 
 class Entry:
@@ -82,29 +127,34 @@
         connections: ConnectionPool,
         tables: Callable[[], Tables],
         choose: Choose,
-        penalty_ms: Callable[[str, str], float],
-        cancel_attempt: CancelAttempt,
+        paths: Paths,
+        links: Links,
+        peers: EntryPeers,
         token: str,
         metrics: Metrics,
         monotonic: Callable[[], float],
         service_times: ServiceTimes,
         account_rates: AccountRates,
+        claims: Claims,
     ) -> None:
         self.directory = directory
         self.owner = owner
         self.connections = connections
         self.tables = tables
         self.choose = choose
-        self.penalty_ms = penalty_ms
-        self.cancel_attempt = cancel_attempt
+        self.paths = paths
+        self.links = links
+        self.peers = peers
         self.token = token
         self.metrics = metrics
         self.monotonic = monotonic
         self.service_times = service_times
         self.account_rates = account_rates
+        self.claims = claims
         self.load_by_target: dict[str, tuple[LoadReport, float]] = {}
         self.budget_by_pool: dict[str, RetryBudget] = {}
         self.recent_by_route: dict[str, deque[float]] = {}
+        self.avoid_until_by_target: dict[str, float] = {}
         self.count = 0
 
 
@@ -133,7 +183,7 @@
         else:
             request = matched.unwrap()
             route_name, pool_name = request.route.name, request.pool.name
-            refusal = await _run_attempts(entry, inbound, request, attempted)
+            refusal = await _run_once(entry, inbound, request, attempted)
         if refusal is not None:
             verdict, reason = refusal.verdict, refusal.reason.value
             await send_refusal(inbound, refusal, request_id=request_id)
@@ -205,6 +255,10 @@
     # A small body is read whole first, so that a slow caller holds no slot.
     await inbound.body.wait_whole()
     key = head.headers.get("Idempotency-Key", "")
+    if len(key) > MAX_KEY_CHARS:
+        detail = f"Idempotency-Key is longer than {MAX_KEY_CHARS} characters"
+        return Failure(not_run(Reason.BAD_REQUEST, detail))
+    named = f"{account}:{key}" if key else ""
     return Success(
         Request(
             request_id=request_id,
@@ -214,7 +268,8 @@
             long_work=route.work == "long"
             or (route.work == "learned" and is_long(entry.service_times, route.name)),
             deadline=started_at + route.timeout_s,
-            fingerprint=fingerprint_of(key, head.method, head.path, inbound.body),
+            fingerprint=fingerprint_of(named, head.method, head.path, inbound.body),
+            key=key,
             head=RequestHead(
                 head.method, head.path, _headers_for_target(inbound, request_id)
             ),
@@ -241,8 +296,74 @@
     return headers
 
 
-async def _run_attempts(
+async def _run_once(
     entry: Entry, inbound: Inbound, request: Request, attempted: list[Attempted]
+) -> Refusal | None:
+    """Run a request, under a claim of its idempotency key if it has one."""
+    if not request.key or request.route.idempotent:
+        return await _run_attempts(entry, inbound, request, attempted, KeptCopy(0))
+    claimed = await claim(
+        entry.claims,
+        key_digest(request.account, request.key),
+        fingerprint_of("", request.head.method, request.head.path, inbound.body),
+        _new_id(entry),
+        request.route,
+    )
+    if isinstance(claimed, Failure):
+        return claimed.failure()
+    held = claimed.unwrap()
+    if held.answer is not None:
+        await _send_kept(inbound, held.answer, request.request_id)
+        return None
+    verdict = Verdict.MAY_HAVE_RUN
+    copy = KeptCopy(MAX_ANSWER_BYTES)
+    try:
+        refusal = await _run_attempts(entry, inbound, request, attempted, copy)
+        verdict = Verdict.RAN if refusal is None else refusal.verdict
+        return refusal
+    finally:
+        headers = list(copy.headers.get_all())
+        await settle(held, verdict, copy.status, headers, copy.whole_body())
+
+
+async def _send_kept(inbound: Inbound, kept: KeptAnswer, request_id: str) -> None:
+    headers = HTTPHeaders()
+    for name, value in kept["headers"]:
+        headers.add(name, value)
+    headers["X-Request-Id"] = request_id
+    headers["Idempotent-Replayed"] = "true"
+    await send_answer(inbound, kept["status"], headers, kept["body"])
+
+
+class KeptCopy:
+    """Copy of an answer on its way to the caller, if it is small enough to keep."""
+
+    def __init__(self, limit_bytes: int) -> None:
+        self.limit_bytes = limit_bytes
+        self.status = 0
+        self.headers = HTTPHeaders()
+        self._chunks: list[bytes] | None = []
+        self._size = 0
+
+    def add(self, chunk: bytes) -> None:
+        """Take a part of the body as it is passed on."""
+        self._size += len(chunk)
+        if self._chunks is not None:
+            self._chunks.append(chunk)
+            if self._size > self.limit_bytes:
+                self._chunks = None
+
+    def whole_body(self) -> bytes | None:
+        """Return the body, or ``None`` if it was too large."""
+        return None if self._chunks is None else b"".join(self._chunks)
+
+
+async def _run_attempts(
+    entry: Entry,
+    inbound: Inbound,
+    request: Request,
+    attempted: list[Attempted],
+    copy: KeptCopy,
 ) -> Refusal | None:
     """Try targets until one answers or a refusal is final.
 
@@ -260,14 +381,20 @@
         async with _open(entry, inbound, request, candidate) as result:
             if isinstance(result, Success):
                 attempted.append(Attempted(candidate.target, candidate.node, None))
-                await _pass_on(entry, inbound, request, candidate, result.unwrap())
+                await _pass_on(
+                    entry, inbound, request, candidate, result.unwrap(), copy
+                )
                 note_success(budget)
                 return None
             refusal = result.failure()
         attempted.append(Attempted(candidate.target, candidate.node, refusal))
+        _avoid(entry, candidate.target, refusal)
         entry.metrics.attempts.add(
             1, {"route": request.route.name, "outcome": refusal.reason.value}
         )
+        if inbound.body.too_large:
+            # A target may have begun to work on the part that it got.
+            return may_have_run(Reason.BODY_TOO_LARGE)
         if not _may_try_again(entry, inbound, request, refusal, attempted, budget):
             return refusal
         entry.metrics.retries.add(1, {"pool": request.pool.name})
@@ -330,28 +457,45 @@
     now = entry.monotonic()
     own = entry.directory.own
     found = []
-    for node in entry.directory.alive():
-        if node.state != "alive":
+    for node, target in _members(entry.directory, pool):
+        if node.state != "alive" or target.state != "ready":
             continue
+        if "*" in target.ejected or route.name in target.ejected:
+            continue
+        load, load_at = _load(entry, node, target, now)
+        found.append(
+            Candidate(
+                target=target.target,
+                node=node.node,
+                distance=distance(own, node),
+                weight=pool.weight_by_domain.get(node.failure_domain, 1.0),
+                slots=min(target.slots, pool.slots or target.slots),
+                load=load,
+                load_age_s=now - load_at,
+                penalty_ms=_path_penalty_ms(entry, node.node),
+            )
+        )
+    return usable(entry.paths, found, pool.floor_slots)
+
+
+def _members(
+    directory: Directory, pool: Pool
+) -> Iterable[tuple[NodeRecord, TargetRecord]]:
+    """Return the targets of a pool, each at the owner it moved to last."""
+    newest_by_target: dict[str, tuple[NodeRecord, TargetRecord]] = {}
+    for node in directory.alive():
         for target in node.targets:
-            if not belongs(pool, node, target) or target.state != "ready":
-                continue
-            if "*" in target.ejected or route.name in target.ejected:
+            if not belongs(pool, node, target):
                 continue
-            load, load_at = _load(entry, node, target, now)
-            found.append(
-                Candidate(
-                    target=target.target,
-                    node=node.node,
-                    distance=distance(own, node),
-                    weight=pool.weight_by_domain.get(node.failure_domain, 1.0),
-                    slots=min(target.slots, pool.slots or target.slots),
-                    load=load,
-                    load_age_s=now - load_at,
-                    penalty_ms=entry.penalty_ms(node.node, route.name),
-                )
-            )
-    return found
+            held = newest_by_target.get(target.target)
+            if held is None or target.epoch > held[1].epoch:
+                newest_by_target[target.target] = (node, target)
+    return newest_by_target.values()
+
+
+def _path_penalty_ms(entry: Entry, node: str) -> float:
+    down = link_up(entry.links, node) is False
+    return penalty_ms(entry.paths, node) + (LINK_DOWN_PENALTY_MS if down else 0.0)
 
 
 def _load(
@@ -367,7 +511,22 @@
 ) -> Candidate | None:
     tried = {attempt.target for attempt in attempted}
     found = candidates(entry, request.route, request.pool)
-    return entry.choose([c for c in found if c.target not in tried])
+    left = [c for c in found if c.target not in tried]
+    now = entry.monotonic()
+    open_now = [
+        c for c in left if entry.avoid_until_by_target.get(c.target, 0.0) <= now
+    ]
+    return entry.choose(open_now or left)
+
+
+def _avoid(entry: Entry, target: str, refusal: Refusal) -> None:
+    """Pass over a target for a moment if it could not take a request at all.
+
+    Its load report shows free slots, so without this it would attract requests until
+    its owner's view has spread.
+    """
+    if refusal.verdict is Verdict.NOT_RUN and refusal.reason in FREE_REASONS:
+        entry.avoid_until_by_target[target] = entry.monotonic() + AVOID_S
 
 
 @asynccontextmanager
@@ -418,17 +577,26 @@
     )
     idle_s = IDLE_MAX_S if attempt.idempotent else NON_IDEMPOTENT_IDLE_MAX_S
     sent_at = entry.monotonic()
-    left_s = request.deadline - sent_at
+    left_s = max(0.0, request.deadline - sent_at)
+    address = (node.host, node.peer_port)
     async with open_connection(
-        entry.connections, (node.host, node.peer_port), max_idle_s=idle_s
+        entry.connections, address, max_idle_s=idle_s
     ) as connected:
         if isinstance(connected, Failure):
+            note_path_failure(entry.paths, node.node)
             yield Failure(not_run(Reason.PEER_UNREACHABLE, node.node))
             return
         async with exchange(
-            connected.unwrap(), head, inbound.body, first_byte_s=max(0.0, left_s)
+            connected.unwrap(),
+            head,
+            inbound.body,
+            first_byte_s=left_s,
+            check_after_s=first_byte_bound_s(entry.paths, attempt.route, left_s),
+            check=partial(_is_with_owner, entry, node, attempt.attempt),
         ) as result:
             if isinstance(result, Success):
+                took_s = entry.monotonic() - sent_at
+                note_answer(entry.paths, node.node, attempt.route, took_s)
                 yield _answer_or_refusal(entry, result.unwrap())
                 return
             cause = result.failure().cause
@@ -436,6 +604,23 @@
     yield Failure(await _settle(entry, node, attempt.attempt, sent_at, cause))
 
 
+async def _is_with_owner(entry: Entry, node: NodeRecord, attempt: str) -> bool:
+    """Ask over a new connection whether an attempt without an answer has arrived."""
+    state = await entry.peers.attempt_state(node, attempt)
+    if state is None:
+        note_path_failure(entry.paths, node.node)
+        # Without an answer nothing is known; the deadline bounds the wait.
+        return True
+    if state == "running":
+        return True
+    if state == "ended":
+        # The answer may be on its way.
+        await asyncio.sleep(ANSWER_GRACE_S)
+    # The new connection works and the old one lost the request or its answer.
+    entry.connections.drop_address((node.host, node.peer_port))
+    return False
+
+
 def attempt_headers(
     entry: Entry, attempt: AttemptRequest, headers: HTTPHeaders
 ) -> HTTPHeaders:
@@ -483,7 +668,9 @@
     """Ask the owner, over a new connection, what became of a lost attempt."""
     if cause == "body_cut":
         return may_have_run(Reason.CANCELLED)
-    verdict = await entry.cancel_attempt(node, attempt, sent_at)
+    if cause != "silent":
+        note_path_failure(entry.paths, node.node)
+    verdict = await entry.peers.cancel_attempt(node, attempt, sent_at)
     return Refusal(verdict, Reason.PEER_LOST, f"{node.node}: {cause}")
 
 
@@ -493,6 +680,7 @@
     request: Request,
     candidate: Candidate,
     answer: Answer,
+    copy: KeptCopy,
 ) -> None:
     """Pass an answer on and learn its service time."""
     for name in [name for name in answer.headers if name.startswith("Siskinlug-")]:
@@ -501,7 +689,8 @@
         del answer.headers[name]
     extra = HTTPHeaders({"Siskinlug-Served-By": candidate.target})
     extra["X-Request-Id"] = request.request_id
-    await stream_answer(inbound, answer, extra)
+    copy.status, copy.headers = answer.status, end_to_end(answer.headers)
+    await stream_answer(inbound, answer, extra, observe=copy.add)
     entry.metrics.attempts.add(
         1, {"route": request.route.name, "outcome": f"{answer.status // 100}xx"}
     )
--- a/siskinlug/node.py
+++ b/siskinlug/node.py
@@ -1,14 +1,14 @@
 """One node: builds the state of all roles and connects them."""
 
-import asyncio
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from contextlib import AsyncExitStack, asynccontextmanager
 from random import Random
 from typing import Any, TypeVar
 
+import msgspec
 from absl import logging
-from returns.result import Failure
+from returns.result import Failure, Success
 
 from siskinlug.account_rates import make_account_rates
 from siskinlug.admin import (
@@ -22,58 +22,88 @@
 from siskinlug.admission import close, resize
 from siskinlug.announcements import (
     INTERVAL_S,
-    LEASE_S,
     AdmissionLimits,
     OwnedTargets,
     accept_announcement,
-    drop_expired,
-    target_records,
 )
-from siskinlug.attempts import cancel, confirm, make_attempts
+from siskinlug.attempts import cancel, confirm, make_attempts, state_of
 from siskinlug.choice import make_choice
+from siskinlug.claims import (
+    ClaimsAnswer,
+    ClaimsRequest,
+    close_claims,
+    home_node,
+    make_claims,
+    serve_claims,
+)
 from siskinlug.clock import HybridClock, wall_clock_ms
+from siskinlug.config_sync import (
+    answer_configuration,
+    follow_configuration,
+    make_configuration,
+    note_position,
+)
+from siskinlug.configuration import position_of
 from siskinlug.connections import make_pool
 from siskinlug.directory import NodeRecord
-from siskinlug.entry import Entry, serve_caller
+from siskinlug.ejection import answer_promises
+from siskinlug.entry import Entry, EntryPeers, serve_caller
 from siskinlug.inbound import InboundLimits, InboundServer, drain_server, open_server
+from siskinlug.links import link_up
+from siskinlug.log_client import open_log
 from siskinlug.logs import log_event
 from siskinlug.membership import (
+    Payload,
     announce_leaving,
     change_own,
     depart,
     make_handlers,
     make_membership,
+    push_payload,
     run_membership,
 )
 from siskinlug.messages import (
     Announcement,
     AnnouncementAnswer,
+    AttemptQuery,
+    AttemptState,
     CancelAnswer,
     CancelRequest,
+    Position,
     decode,
     encode,
 )
 from siskinlug.metrics import make_metrics
-from siskinlug.owner import Owner
+from siskinlug.owner import Owner, note_incarnation
+from siskinlug.paths import make_paths
 from siskinlug.peer_client import call_peer, make_peer_client
 from siskinlug.peer_server import MAX_MESSAGE_BYTES, Handler, make_peer_server
-from siskinlug.quarantine import make_quarantine
+from siskinlug.promises import PromiseAnswer, PromiseRequest
+from siskinlug.quarantine import (
+    Suspicion,
+    known_suspicions,
+    make_quarantine,
+    merge,
+)
 from siskinlug.service_times import make_service_times
 from siskinlug.settings import Settings
 from siskinlug.supervisor import supervise
-from siskinlug.tables import NO_TABLES, Tables
-from siskinlug.timeline import Timeline, record
+from siskinlug.tables import Tables
+from siskinlug.timeline import Kind, Timeline, record
 from siskinlug.verdict import Reason, Verdict
+from siskinlug.watch import Watch, is_ejected, publish_targets, run_watch
 
 PEER_IDLE_S = 60.0
 PEER_BODY_S = 3600.0
 PEER_CONNECTIONS = 4096
 ADMIN_HEADER_BYTES = 16_384
 ALTERNATIVES = 3
-LEASE_CHECK_S = 0.2
 # Time to answer on kept connections with ``Connection: close`` before they close.
 LEAVE_QUIET_S = 0.5
 CANCEL_TIMEOUT_S = 1.0
+PROMISES_PATH = "/peer/promises"
+CLAIMS_PATH = "/peer/claims"
+CONFIGURATION_PATH = "/peer/configuration"
 
 MessageT = TypeVar("MessageT")
 
@@ -86,7 +116,7 @@
         self.random = random
         self.monotonic: Callable[[], float] = time.monotonic
         self.incarnation = wall_clock_ms()
-        self.tables: Tables = NO_TABLES
+        self.log = open_log(settings.log_url, monotonic=self.monotonic)
         self.timeline = Timeline(settings.name, HybridClock())
         self.metrics = make_metrics()
         self.connections = make_pool(monotonic=self.monotonic)
@@ -101,7 +131,14 @@
             attempts=self.attempts,
             quarantine=self.quarantine,
             connections=self.connections,
-            is_ejected=lambda target, route: False,
+            is_ejected=lambda target, route: is_ejected(self.watch, target, route),
+            on_suspicions=lambda: push_payload(self.membership, "suspicions"),
+            monotonic=self.monotonic,
+        )
+        self.configuration = make_configuration(
+            self.timeline,
+            on_change=lambda _tables: _apply_tables(self),
+            random=random,
             monotonic=self.monotonic,
         )
         self.membership = make_membership(
@@ -112,23 +149,56 @@
             random=random,
             seeds=[_address(peer) for peer in settings.peers],
             on_silent=self.connections.drop_address,
+            payloads=[
+                Payload(
+                    name="configuration",
+                    value_type=Position,
+                    write=lambda _urgent: position_of(self.configuration.state),
+                    read=lambda peer, position: note_position(
+                        self.configuration, peer, position
+                    ),
+                ),
+                Payload(
+                    name="suspicions",
+                    value_type=list[Suspicion],
+                    write=lambda _urgent: known_suspicions(self.quarantine) or None,
+                    read=lambda _peer, received: bool(merge(self.quarantine, received)),
+                ),
+            ],
+        )
+        self.watch = _make_watch(self)
+        self.claims = make_claims(
+            node=settings.name,
+            incarnation=self.incarnation,
+            append=self.log.append,
+            read=self.log.read,
+            home_of=self._home_of,
+            call_home=self._call_home,
+            monotonic=self.monotonic,
+            wall_ms=wall_clock_ms,
         )
         self.entry = Entry(
             directory=self.membership.directory,
             owner=self.owner,
             connections=self.connections,
-            tables=lambda: self.tables,
+            tables=self.tables,
             choose=make_choice(random=random),
-            penalty_ms=lambda node, route: 0.0,
-            cancel_attempt=self._cancel_attempt,
+            paths=make_paths(monotonic=self.monotonic),
+            links=self.membership.links,
+            peers=EntryPeers(self._cancel_attempt, self._attempt_state),
             token=settings.token,
             metrics=self.metrics,
             monotonic=self.monotonic,
             service_times=make_service_times(monotonic=self.monotonic),
             account_rates=make_account_rates(monotonic=self.monotonic),
+            claims=self.claims,
         )
         self.server_by_port: dict[str, InboundServer] = {}
 
+    def tables(self) -> Tables:
+        """Return the tables in force."""
+        return self.configuration.tables
+
     def _own_record(self) -> NodeRecord:
         settings = self.settings
         return NodeRecord(
@@ -151,7 +221,7 @@
         """Limits of a target from the pools that take its service."""
         pools = [
             pool
-            for pool in self.tables.pools_by_name.values()
+            for pool in self.tables().pools_by_name.values()
             if pool.service == announcement["service"]
         ]
         slots = min([p.slots for p in pools if p.slots] + [announcement["slots"]])
@@ -161,6 +231,34 @@
             queue_wait_s=min((pool.queue_wait_s for pool in pools), default=0.0),
         )
 
+    def _home_of(self, partition: int) -> str:
+        # Two homes are ordered by the log, so a home that this node cannot reach is
+        # passed over before it is declared dead.
+        alive = [
+            record.node
+            for record in self.membership.others()
+            if record.state == "alive"
+            and link_up(self.membership.links, record.node) is not False
+        ]
+        if not self.owner.leaving:
+            alive.append(self.settings.name)
+        return home_node(partition, alive)
+
+    async def _call_home(
+        self, home: str, request: ClaimsRequest
+    ) -> ClaimsAnswer | None:
+        peer = self.membership.directory.record_by_node.get(home)
+        if peer is None:
+            return None
+        result = await call_peer(
+            self.peer_client,
+            (peer.host, peer.peer_port),
+            CLAIMS_PATH,
+            request,
+            ClaimsAnswer,
+        )
+        return result.value_or(None)
+
     async def _cancel_attempt(
         self, peer: NodeRecord, attempt: str, sent_at: float
     ) -> Verdict:
@@ -181,6 +279,19 @@
         verdict = Verdict(result.unwrap()["verdict"])
         return confirm(verdict, sent_at=sent_at, answered_at=self.monotonic())
 
+    async def _attempt_state(self, peer: NodeRecord, attempt: str) -> str | None:
+        """Ask an owner over a new connection whether an attempt has arrived."""
+        result = await call_peer(
+            self.peer_client,
+            (peer.host, peer.peer_port),
+            "/peer/attempts/state",
+            AttemptQuery(attempt=attempt),
+            AttemptState,
+            timeout_s=CANCEL_TIMEOUT_S,
+            fresh=True,
+        )
+        return result.unwrap()["state"] if isinstance(result, Success) else None
+
 
 def _address(text: str) -> tuple[str, int]:
     host, _, port = text.rpartition(":")
@@ -192,9 +303,8 @@
     return Node(settings, random=random or Random())
 
 
-def put_in_force(node: Node, tables: Tables) -> None:
-    """Use new tables for all requests from now on."""
-    node.tables = tables
+def _apply_tables(node: Node) -> None:
+    """Resize the queues of owned targets after a change of the tables."""
     for owned in node.targets.owned_by_target.values():
         limits = node.targets.limits_of(owned.announcement)
         resize(
@@ -224,25 +334,65 @@
         raise ValueError(accepted.failure())
     if not known:
         detail = f"{message['service']}, {message['slots']} slots"
-        record(node.timeline, "target_joined", message["target"], detail)
-    _publish_targets(node)
+        record(node.timeline, Kind.TARGET_ANNOUNCED, message["target"], detail)
+    note_incarnation(node.owner, message["target"], message["incarnation"])
+    publish_targets(node.watch)
     return accepted.unwrap()
 
 
-def _publish_targets(node: Node) -> None:
-    """Bring this node's record up to date with its targets."""
-    records = target_records(node.targets, {})
-    change_own(node.membership, targets=records)
+async def _follow_configuration(node: Node) -> None:
+    async def fetch(peer: str, position: Position) -> bytes | None:
+        found = node.membership.directory.record_by_node.get(peer)
+        if found is None:
+            return None
+        result: Any = await call_peer(
+            node.peer_client,
+            (found.host, found.peer_port),
+            CONFIGURATION_PATH,
+            position,
+            msgspec.Raw,
+        )
+        return bytes(result.unwrap()) if isinstance(result, Success) else None
+
+    await follow_configuration(
+        node.configuration,
+        node.log,
+        fetch=fetch,
+        push=lambda: push_payload(node.membership, "configuration"),
+        nodes=lambda: 1 + len(node.membership.others()),
+    )
 
 
-async def _watch_leases(node: Node) -> None:
-    """Drop targets that no longer renew."""
-    while True:
-        await asyncio.sleep(LEASE_CHECK_S)
-        for target in drop_expired(node.targets):
-            detail = f"no renewal for {LEASE_S:g} s"
-            record(node.timeline, "target_expired", target, detail)
-        _publish_targets(node)
+def _make_watch(node: Node) -> Watch:
+    async def call_promises(peer: str, request: PromiseRequest) -> PromiseAnswer | None:
+        if peer == node.settings.name:
+            return answer_promises(node.watch.ejection_by_target, request)
+        found = node.membership.directory.record_by_node.get(peer)
+        if found is None:
+            return None
+        result: Any = await call_peer(
+            node.peer_client,
+            (found.host, found.peer_port),
+            PROMISES_PATH,
+            request,
+            PromiseAnswer,
+        )
+        return result.value_or(None)
+
+    return Watch(
+        targets=node.targets,
+        directory=node.membership.directory,
+        tables=node.tables,
+        connections=node.connections,
+        call_promises=call_promises,
+        publish=lambda records: change_own(node.membership, targets=records),
+        is_leaving=lambda: node.owner.leaving,
+        timeline=node.timeline,
+        random=node.random,
+        ejection_by_target={},
+        task_by_target={},
+        on_expired=lambda target: note_incarnation(node.owner, target, None),
+    )
 
 
 def _message_handler(
@@ -262,7 +412,23 @@
         verdict = cancel(node.attempts, message["attempt"], message["incarnation"])
         return CancelAnswer(verdict=verdict.value)
 
+    async def configuration(body: bytes) -> bytes:
+        return answer_configuration(node.configuration, body)
+
+    async def promise(message: PromiseRequest) -> PromiseAnswer:
+        return answer_promises(node.watch.ejection_by_target, message)
+
+    async def attempt_state(message: AttemptQuery) -> AttemptState:
+        return AttemptState(state=state_of(node.attempts, message["attempt"]))
+
+    async def claims(message: ClaimsRequest) -> ClaimsAnswer:
+        return await serve_claims(node.claims, message)
+
     handler_by_path = {
+        CLAIMS_PATH: _message_handler(ClaimsRequest, claims),
+        "/peer/attempts/state": _message_handler(AttemptQuery, attempt_state),
+        CONFIGURATION_PATH: configuration,
+        PROMISES_PATH: _message_handler(PromiseRequest, promise),
         "/announce": _message_handler(Announcement, announce),
         "/peer/attempts/cancel": _message_handler(CancelRequest, cancel_attempt),
     }
@@ -282,7 +448,7 @@
         {
             "/nodes": nodes_page(directory),
             "/targets": targets_page(directory),
-            "/tables": tables_page(lambda: node.tables),
+            "/tables": tables_page(node.tables),
             "/timeline": timeline_page(node.timeline),
             "/explain": explain_page(node.entry),
         }
@@ -337,19 +503,19 @@
         PortError: A port is taken; nothing is left listening.
     """
     jobs = {
+        "configuration": lambda: _follow_configuration(node),
         "membership": lambda: run_membership(node.membership),
-        "leases": lambda: _watch_leases(node),
+        "targets": lambda: run_watch(node.watch),
     }
     async with AsyncExitStack() as stack:
         stack.callback(node.connections.close)
+        stack.push_async_callback(close_claims, node.claims)
         stack.callback(_stop_listening, node)
         _open_servers(node)
         await stack.enter_async_context(supervise(jobs))
-        record(node.timeline, "node_started", node.settings.name)
-        log_event(
-            "listening",
-            **{name: server.port for name, server in node.server_by_port.items()},
-        )
+        record(node.timeline, Kind.NODE_STARTED, node.settings.name)
+        ports = {name: server.port for name, server in node.server_by_port.items()}
+        log_event("listening", ports=ports)
         yield
 
 
@@ -369,7 +535,7 @@
     Returns:
         Requests that were cut at the time limit.
     """
-    record(node.timeline, "node_leaving", node.settings.name)
+    record(node.timeline, Kind.NODE_STOPPING, node.settings.name)
     node.owner.leaving = True
     announce_leaving(node.membership)
     for owned in node.targets.owned_by_target.values():
--- a/tests/fake_log.py
+++ b/tests/fake_log.py
@@ -1,71 +1,71 @@
-"""A log in memory whose appends can be lost, late or doubled, for property tests."""
+"""An in-memory log whose appends fail, get lost and take effect late."""
 
-import json
-from collections.abc import Iterator
+import asyncio
+import random
 from typing import Any
 
 from returns.result import Failure, Result, Success
 
-from siskinlug.log_client import Effect, Log, LogError, LogPage, LogRecord
-
-_LOST = Failure(LogError(Effect.UNKNOWN, "answer lost"))
+from siskinlug.log_client import Effect, LogError, LogPage, LogRecord
 
 
 class FakeLog:
-    """One stream; ``all_records`` also holds what was trimmed, for the reference.
-
-    Attributes:
-        faults: Fates of the next appends: ``ok``, ``refused`` (not applied), ``lost``
-            (applied, answer lost), ``late`` (answer lost, applied by
-            ``deliver_late``), ``doubled`` (applied twice).
-    """
+    """Streams in memory; faults are drawn from ``rng`` or set by the test."""
 
-    def __init__(self) -> None:
-        self.all_records: list[Any] = []
-        self.first = 0
+    def __init__(self, rng: random.Random) -> None:
+        self.rng = rng
+        self.records_by_stream: dict[str, list[Any]] = {}
         self.down = False
-        self.late: list[Any] = []
-        self.faults: Iterator[str] = iter(())
-
-    def log(self) -> Log:
-        return Log(self._append, self._read, lambda: None)
-
-    @staticmethod
-    async def down_read() -> Result[LogPage, LogError]:
-        return Failure(LogError(Effect.UNAVAILABLE, "down"))
+        self.fault_ratio = 0.0
+        self.lose_next = 0
+        self.held_back: list[tuple[str, Any]] = []
+        self.appends = 0
 
-    def add(self, record: Any) -> int:
-        # Through text, as on the wire.
-        self.all_records.append(json.loads(json.dumps(record)))
-        return len(self.all_records) - 1
+    def _take(self, stream: str, record: Any) -> int:
+        records = self.records_by_stream.setdefault(stream, [])
+        records.append(record)
+        return len(records) - 1
 
-    def trim(self, keep: int) -> None:
-        self.first = max(self.first, len(self.all_records) - keep)
+    def release_held_back(self) -> None:
+        """Let appends whose answer was lost take effect now."""
+        for stream, record in self.held_back:
+            self._take(stream, record)
+        self.held_back.clear()
 
-    def deliver_late(self) -> None:
-        while self.late:
-            self.add(self.late.pop())
-
-    async def _append(
-        self, stream: str, record: Any, *, timeout_s: float = 0
+    async def append(
+        self, stream: str, record: Any, *, timeout_s: float = 3.0
     ) -> Result[int, LogError]:
-        fate = next(self.faults, "ok")
-        if self.down or fate == "refused":
+        self.appends += 1
+        await asyncio.sleep(self.rng.uniform(0.001, 0.02))
+        if self.down:
             return Failure(LogError(Effect.NOT_APPLIED, "down"))
-        if fate == "late":
-            self.late.append(record)
-            return _LOST
-        offset = self.add(record)
-        if fate == "doubled":
-            self.add(record)
-        return _LOST if fate == "lost" else Success(offset)
+        if self.lose_next:
+            self.lose_next -= 1
+            self.held_back.append((stream, record))
+            return Failure(LogError(Effect.UNKNOWN, "lost"))
+        if self.rng.random() >= self.fault_ratio:
+            return Success(self._take(stream, record))
+        fault = self.rng.choice(["refused", "lost", "applied", "late"])
+        if fault == "refused":
+            return Failure(LogError(Effect.NOT_APPLIED, "overloaded"))
+        if fault == "applied":
+            self._take(stream, record)
+        elif fault == "late":
+            delay_s = self.rng.uniform(0.0, 6.0)
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay_s, self._take, stream, record)
+        await asyncio.sleep(self.rng.uniform(0.0, timeout_s))
+        return Failure(LogError(Effect.UNKNOWN, fault))
 
-    async def _read(
-        self, stream: str, start: int, *, limit: int = 100, timeout_s: float = 0
+    async def read(
+        self, stream: str, start: int, *, limit: int = 100, timeout_s: float = 3.0
     ) -> Result[LogPage, LogError]:
-        if self.down:
+        await asyncio.sleep(self.rng.uniform(0.001, 0.02))
+        if self.down or self.rng.random() < self.fault_ratio / 2:
             return Failure(LogError(Effect.UNAVAILABLE, "down"))
-        end = len(self.all_records)
-        offsets = range(max(start, self.first), end)[:limit]
-        records = tuple(LogRecord(o, self.all_records[o]) for o in offsets)
-        return Success(LogPage(self.first, end, records))
+        records = self.records_by_stream.get(stream, [])
+        page = tuple(
+            LogRecord(start + number, record)
+            for number, record in enumerate(records[start : start + limit])
+        )
+        return Success(LogPage(0, len(records), page))
--- a/tests/test_config_sync.py
+++ b/tests/test_config_sync.py
@@ -20,7 +20,7 @@
 from siskinlug.log_client import Log
 from siskinlug.messages import Position, encode
 from siskinlug.timeline import Timeline
-from tests.fake_log import FakeLog
+from tests.fake_configuration_log import FakeLog
 
 HOP_S = 0.003
 FANOUT = 4
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -41,7 +41,7 @@
 )
 from siskinlug.messages import Position, encode
 from siskinlug.timeline import Timeline
-from tests.fake_log import FakeLog
+from tests.fake_configuration_log import FakeLog
 
 # Texts and what they mean, so that the reference needs no parser: the pools that a
 # routes text needs, and the pools that a pools text has. None is a faulty text.
--- a/tests/test_publishing.py
+++ b/tests/test_publishing.py
@@ -15,7 +15,7 @@
 from siskinlug.log_client import Log
 from siskinlug.publishing import Outcome, publish, settle
 from standins.log_service import LogState
-from tests.fake_log import FakeLog
+from tests.fake_configuration_log import FakeLog
 from tests.test_log_client import run_with_log
 
 POOLS = "[a]\nservice = x\n"
