Write outcomes before a planned stop, and fix fingerprints of long bodies

A stop lost the outcomes that waited for an append, up to a second's worth, and their keys then counted as may have run. close_claims now writes them first.

The start of a body longer than replay_bytes was kept up to a chunk's end, so the same upload had other fingerprints when its chunks fell differently, and a resent one would have been refused as key_mismatch. The start is now cut at replay_bytes, and the declared length counts.

--- a/siskinlug/body.py
+++ b/siskinlug/body.py
@@ -42,9 +42,12 @@
 
     def feed(self, chunk: bytes) -> asyncio.Future[None] | None:
         """Add data; the future returned, if any, resolves when there is room."""
+        room = self._replay_bytes - self.received_bytes
+        if room > 0:
+            # The start is kept of a longer body as well: fingerprints digest it, and
+            # must not depend on where chunks end.
+            self._kept.append(chunk[:room])
         self.received_bytes += len(chunk)
-        if self.can_replay:
-            self._kept.append(chunk)
         self._waiting.append(chunk)
         self._waiting_bytes += len(chunk)
         self._changed.set()
--- a/siskinlug/claims.py
+++ b/siskinlug/claims.py
@@ -28,6 +28,7 @@
 LOG_RETRY_S = 0.5
 # Time after the route's limit during which a claim without outcome counts as running.
 HOLD_MARGIN_S = 5.0
+DRAIN_S = 3.0
 MAX_BATCH = 256
 MAX_WAITING = 1024
 MAX_NOTES = 4096
@@ -295,6 +296,7 @@
         self.partition_by_number: dict[int, _Partition] = {}
         self.answers = _Answers()
         self.tasks: set[asyncio.Task[None]] = set()
+        self.closing = False
         self.appends = 0
 
     def partition(self, key: str) -> _Partition:
@@ -371,8 +373,22 @@
     )
 
 
-async def close_claims(claims: Claims) -> None:
-    """Stop all work; outcomes not yet in the log are lost and stay unsettled."""
+async def close_claims(claims: Claims, *, drain_s: float = DRAIN_S) -> None:
+    """Write outcomes to the log, then stop.
+
+    Args:
+        claims: The claims of this node.
+        drain_s: Longest time for writing, in seconds; outcomes that are not in the log
+            by then are lost, and their keys count as may have run.
+    """
+    claims.closing = True
+    for partition in claims.partition_by_number.values():
+        partition.claim_arrived.set()
+    with suppress(TimeoutError):
+        async with asyncio.timeout(drain_s):
+            # A delivered outcome may start a task that writes it.
+            while claims.tasks:
+                await asyncio.wait(list(claims.tasks))
     for task in list(claims.tasks):
         task.cancel()
     await asyncio.gather(*claims.tasks, return_exceptions=True)
@@ -753,7 +769,7 @@
 
 
 async def _wait_for_turn(claims: Claims, partition: _Partition) -> None:
-    if not partition.waiting:
+    if not partition.waiting and not claims.closing:
         partition.claim_arrived.clear()
         with suppress(TimeoutError):
             async with asyncio.timeout(SETTLE_DELAY_S):
--- a/siskinlug/entry.py
+++ b/siskinlug/entry.py
@@ -268,7 +268,7 @@
             long_work=route.work == "long"
             or (route.work == "learned" and is_long(entry.service_times, route.name)),
             deadline=started_at + route.timeout_s,
-            fingerprint=fingerprint_of(named, head.method, head.path, inbound.body),
+            fingerprint=_fingerprint(named, inbound),
             key=key,
             head=RequestHead(
                 head.method, head.path, _headers_for_target(inbound, request_id)
@@ -277,6 +277,17 @@
     )
 
 
+def _fingerprint(key: str, inbound: Inbound) -> str:
+    head = inbound.head
+    return fingerprint_of(
+        key,
+        head.method,
+        head.path,
+        inbound.body,
+        declared_length=head.headers.get("Content-Length", ""),
+    )
+
+
 def _headers_for_target(inbound: Inbound, request_id: str) -> HTTPHeaders:
     headers = end_to_end(inbound.head.headers)
     for name in [name for name in headers if name.startswith("Siskinlug-")]:
@@ -305,7 +316,7 @@
     claimed = await claim(
         entry.claims,
         key_digest(request.account, request.key),
-        fingerprint_of("", request.head.method, request.head.path, inbound.body),
+        _fingerprint("", inbound),
         _new_id(entry),
         request.route,
     )
--- a/siskinlug/quarantine.py
+++ b/siskinlug/quarantine.py
@@ -262,22 +262,33 @@
     return SUSPECT
 
 
-def fingerprint_of(key: str, method: str, path: str, body: BodyStream | bytes) -> str:
+def fingerprint_of(
+    key: str,
+    method: str,
+    path: str,
+    body: BodyStream | bytes,
+    *,
+    declared_length: str = "",
+) -> str:
     """Return the fingerprint of a request.
 
     Args:
         key: Its Idempotency-Key; if there is one, only it counts.
         method: Method.
         path: Path with query.
-        body: The body; of a stream, what has been kept so far. Its first 64 KiB and
-            its length count.
+        body: The body. Its first 64 KiB count, or what a stream keeps of its start if
+            that is less, and its length if the whole body is held.
+        declared_length: Content-Length, which counts if a stream does not hold the
+            whole body.
     """
     if key:
         return "k" + xxhash.xxh3_128_hexdigest(key.encode())
     data = body.kept if isinstance(body, BodyStream) else body
-    length = body.received_bytes if isinstance(body, BodyStream) else len(body)
+    length = str(len(data))
+    if isinstance(body, BodyStream) and not body.can_replay:
+        length = f"long {declared_length}"
     digest = xxhash.xxh3_128()
-    for part in (method.encode(), path.encode(), str(length).encode()):
+    for part in (method.encode(), path.encode(), length.encode()):
         digest.update(len(part).to_bytes(4, "big"))
         digest.update(part)
     digest.update(data[:DIGEST_BYTES])
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -115,7 +115,7 @@
         for task in self.running[node]:
             task.cancel()
         self.claims[node] = self._make(node)
-        await close_claims(old)
+        await close_claims(old, drain_s=0.0)
 
     async def ask(
         self, node: str, key: str, name: str, *, without_log: str = "refuse"
@@ -124,7 +124,7 @@
 
     async def close(self) -> None:
         for claims in self.claims.values():
-            await close_claims(claims)
+            await close_claims(claims, drain_s=0.0)
 
 
 class Checker:
@@ -310,6 +310,19 @@
 
         self.assertThat(_run(use), Equals((Verdict.RAN, Reason.KEY_CLAIMED)))
 
+    def test_a_planned_stop_writes_outcomes_first(self) -> None:
+        """Guards against a planned stop that turns ran into may have run."""
+
+        async def use(fleet: Fleet) -> Any:
+            held = (await fleet.ask("n1", _KEYS[0], "c1")).unwrap()
+            await settle(held, Verdict.RAN, 200, (), None)
+            await asyncio.sleep(0.1)
+            await close_claims(fleet.claims["n0"])
+            fleet.home_by_view = dict.fromkeys(_NODES, "n2")
+            return _verdict(await fleet.ask("n2", _KEYS[0], "c2"))
+
+        self.assertThat(_run(use), Equals((Verdict.RAN, Reason.KEY_CLAIMED)))
+
     def test_a_key_that_was_not_run_is_free_at_every_home(self) -> None:
         """Guards against a home that refuses by a state that is out of date."""
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -9,7 +9,7 @@
 from testtools.matchers import Equals
 
 from bench.virtual_time import run_virtual
-from siskinlug.body import bytes_body
+from siskinlug.body import BodyStream, bytes_body
 from siskinlug.quarantine import (
     Quarantine,
     ResetWatch,
@@ -161,6 +161,22 @@
         stream = bytes_body(b"x")
         self.assertThat(fingerprint_of("", "GET", "/a", stream), Equals(prints[3]))
 
+    @given(st.lists(st.integers(1, 9), min_size=1))
+    def test_chunks_do_not_change_a_fingerprint(self, sizes: list[int]) -> None:
+        """Guards against a resent upload that is taken for another request."""
+        body = BodyStream(replay_bytes=8)
+        data = b"abcdefghijkl"
+        for size in sizes:
+            body.feed(data[:size])
+            data = data[size:]
+        body.feed(data)
+        whole = BodyStream(replay_bytes=8)
+        whole.feed(b"abcdefghijkl")
+        self.assertThat(
+            fingerprint_of("", "PUT", "/", body, declared_length="12"),
+            Equals(fingerprint_of("", "PUT", "/", whole, declared_length="12")),
+        )
+
 
 class RunAloneTest(testtools.TestCase):
     def test_a_suspect_runs_alone_on_a_busy_target(self) -> None:
