--- a/bench/run_demo.py
+++ b/bench/run_demo.py
@@ -60,6 +60,7 @@
             fleet.log_url,
             "--node",
             f"http://{fleet.host(1)}:{ADMIN_PORT}",
+            "--yes",
         ],
         cwd=ROOT,
         capture_output=True,
@@ -77,7 +78,7 @@
     served: Counter[str] = Counter()
     for number in range(REQUESTS):
         node = fleet.nodes[number % len(fleet.nodes)].number
-        path = ("/catalogue/robes", "/bookings/fittings", "/records/orders")[number % 3]
+        path = ("/availability/robes", "/fittings/choir", "/stock/gowns")[number % 3]
         started = time.perf_counter()
         reply = fleet.request(
             node, "GET", f"{path}?ms=5&bytes=512", headers={"X-Account": "parish-7"}
--- a/siskinlug/node.py
+++ b/siskinlug/node.py
@@ -448,6 +448,7 @@
         {
             "/nodes": nodes_page(directory),
             "/targets": targets_page(directory),
+            "/configuration": lambda _query: position_of(node.configuration.state),
             "/tables": tables_page(node.tables),
             "/timeline": timeline_page(node.timeline),
             "/explain": explain_page(node.entry),
