Cut copies and tasks from the request path

Cause: each hop copied and validated all headers three times and started two tasks an exchange. Now headers are edited in place, a small request is written without a task of its own, and one future stands for the head.

--- a/siskinlug/entry.py
+++ b/siskinlug/entry.py
@@ -37,7 +37,14 @@
     open_connection,
 )
 from siskinlug.directory import Directory, NodeRecord, TargetRecord
-from siskinlug.exchange import Answer, RequestHead, end_to_end, exchange
+from siskinlug.exchange import (
+    Answer,
+    RequestHead,
+    drop_header,
+    drop_hop_by_hop,
+    drop_prefix,
+    exchange,
+)
 from siskinlug.inbound import Inbound, send_answer, send_refusal, stream_answer
 from siskinlug.links import Links, link_up
 from siskinlug.load import LoadReport, decode_load
@@ -254,6 +261,9 @@
         return Failure(refusal)
     # A small body is read whole first, so that a slow caller holds no slot.
     await inbound.body.wait_whole()
+    if _cannot_be_framed(inbound):
+        detail = f"a {head.method} with a large body needs a Content-Length"
+        return Failure(not_run(Reason.BAD_REQUEST, detail))
     key = head.headers.get("Idempotency-Key", "")
     if len(key) > MAX_KEY_CHARS:
         detail = f"Idempotency-Key is longer than {MAX_KEY_CHARS} characters"
@@ -288,13 +298,22 @@
     )
 
 
+def _cannot_be_framed(inbound: Inbound) -> bool:
+    """Whether the codec, which chunks only these methods, cannot send the body."""
+    return (
+        not inbound.body.whole
+        and "Content-Length" not in inbound.head.headers
+        and inbound.head.method not in ("POST", "PUT", "PATCH")
+    )
+
+
 def _headers_for_target(inbound: Inbound, request_id: str) -> HTTPHeaders:
-    headers = end_to_end(inbound.head.headers)
-    for name in [name for name in headers if name.startswith("Siskinlug-")]:
-        del headers[name]
+    """Turn the caller's headers, in place, into those for a target."""
+    headers = inbound.head.headers
+    drop_hop_by_hop(headers)
+    drop_prefix(headers, "Siskinlug-")
     # The entry itself answered 100-continue.
-    if "Expect" in headers:
-        del headers["Expect"]
+    drop_header(headers, "Expect")
     headers["X-Request-Id"] = request_id
     before = headers.get("X-Forwarded-For")
     headers["X-Forwarded-For"] = (
@@ -581,11 +600,7 @@
     attempt: AttemptRequest,
     node: NodeRecord,
 ) -> AsyncIterator[Result[Answer, Refusal]]:
-    head = RequestHead(
-        request.head.method,
-        request.head.path,
-        attempt_headers(entry, attempt, request.head.headers),
-    )
+    add_attempt_headers(entry, attempt, request.head.headers)
     idle_s = IDLE_MAX_S if attempt.idempotent else NON_IDEMPOTENT_IDLE_MAX_S
     sent_at = entry.monotonic()
     left_s = max(0.0, request.deadline - sent_at)
@@ -599,7 +614,7 @@
             return
         async with exchange(
             connected.unwrap(),
-            head,
+            request.head,
             inbound.body,
             first_byte_s=left_s,
             check_after_s=first_byte_bound_s(entry.paths, attempt.route, left_s),
@@ -632,25 +647,26 @@
     return False
 
 
-def attempt_headers(
+def add_attempt_headers(
     entry: Entry, attempt: AttemptRequest, headers: HTTPHeaders
-) -> HTTPHeaders:
-    """Return the headers of an attempt on its way to another node."""
-    copy = headers.copy()
+) -> None:
+    """Set the headers of an attempt on its way to another node."""
     left_ms = int((attempt.deadline - entry.monotonic()) * 1000)
-    copy["Siskinlug-Token"] = entry.token
-    copy["Siskinlug-Attempt"] = attempt.attempt
-    copy["Siskinlug-Target"] = attempt.target
-    copy["Siskinlug-Route"] = attempt.route
-    copy["Siskinlug-Account"] = attempt.account
-    copy["Siskinlug-Priority"] = str(attempt.priority)
-    copy["Siskinlug-Work"] = "long" if attempt.long_work else "short"
-    copy["Siskinlug-Idempotent"] = "yes" if attempt.idempotent else "no"
-    copy["Siskinlug-Deadline-Ms"] = str(max(0, left_ms))
-    copy["Siskinlug-Fingerprint"] = attempt.fingerprint
+    headers["Siskinlug-Token"] = entry.token
+    headers["Siskinlug-Attempt"] = attempt.attempt
+    headers["Siskinlug-Target"] = attempt.target
+    headers["Siskinlug-Route"] = attempt.route
+    headers["Siskinlug-Account"] = attempt.account
+    headers["Siskinlug-Priority"] = str(attempt.priority)
+    headers["Siskinlug-Work"] = "long" if attempt.long_work else "short"
+    headers["Siskinlug-Idempotent"] = "yes" if attempt.idempotent else "no"
+    headers["Siskinlug-Deadline-Ms"] = str(max(0, left_ms))
+    headers["Siskinlug-Fingerprint"] = attempt.fingerprint
     if attempt.baseline_s is not None:
-        copy["Siskinlug-Baseline-Ms"] = f"{attempt.baseline_s * 1000:.2f}"
-    return copy
+        headers["Siskinlug-Baseline-Ms"] = f"{attempt.baseline_s * 1000:.2f}"
+    else:
+        # A retry may carry that of an earlier attempt.
+        drop_header(headers, "Siskinlug-Baseline-Ms")
 
 
 def _answer_or_refusal(entry: Entry, answer: Answer) -> Result[Answer, Refusal]:
@@ -694,13 +710,16 @@
     copy: KeptCopy,
 ) -> None:
     """Pass an answer on and learn its service time."""
-    for name in [name for name in answer.headers if name.startswith("Siskinlug-")]:
-        if name == "Siskinlug-Service-Ms":
-            _learn(entry, request.route.name, answer.headers[name])
-        del answer.headers[name]
-    extra = HTTPHeaders({"Siskinlug-Served-By": candidate.target})
-    extra["X-Request-Id"] = request.request_id
-    copy.status, copy.headers = answer.status, end_to_end(answer.headers)
+    headers = answer.headers
+    _learn(entry, request.route.name, headers.get("Siskinlug-Service-Ms", ""))
+    drop_prefix(headers, "Siskinlug-")
+    drop_hop_by_hop(headers)
+    if copy.limit_bytes:
+        copy.status, copy.headers = answer.status, headers.copy()
+    extra = {
+        "Siskinlug-Served-By": candidate.target,
+        "X-Request-Id": request.request_id,
+    }
     await stream_answer(inbound, answer, extra, observe=copy.add)
     entry.metrics.attempts.add(
         1, {"route": request.route.name, "outcome": f"{answer.status // 100}xx"}
--- a/siskinlug/exchange.py
+++ b/siskinlug/exchange.py
@@ -79,16 +79,16 @@
     def __init__(self) -> None:
         self.body = BodyStream()
         self.body.idle_s = ANSWER_IDLE_S
-        self.head: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
-        self.interim: asyncio.Event = asyncio.Event()
+        # The answer once its head is there, or why there will be none.
+        self.head: asyncio.Future[Answer | str] = (
+            asyncio.get_running_loop().create_future()
+        )
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> None:
         assert isinstance(start_line, ResponseStartLine)
-        if 100 <= start_line.code < 200:
-            self.interim.set()
-        elif not self.head.done():
+        if start_line.code >= 200 and not self.head.done():
             self.head.set_result(
                 Answer(start_line.code, start_line.reason, headers, self.body)
             )
@@ -103,18 +103,26 @@
         self.body.cut_off()
 
 
-def end_to_end(headers: HTTPHeaders) -> HTTPHeaders:
-    """Copy headers without those that belong to one connection (RFC 9110, 7.6.1)."""
-    named = {
-        name.strip().title()
-        for value in headers.get_list("Connection")
-        for name in value.split(",")
-    }
-    copy = HTTPHeaders()
-    for name, value in headers.get_all():
-        if name not in HOP_BY_HOP and name not in named:
-            copy.add(name, value)
-    return copy
+def drop_hop_by_hop(headers: HTTPHeaders) -> None:
+    """Drop headers that belong to one connection, in place (RFC 9110, 7.6.1)."""
+    options = headers.get("Connection")
+    if options is not None:
+        for name in options.split(","):
+            drop_header(headers, name.strip())
+    for name in HOP_BY_HOP:
+        drop_header(headers, name)
+
+
+def drop_header(headers: HTTPHeaders, name: str) -> None:
+    """Drop a header, if it is there."""
+    if name in headers:
+        del headers[name]
+
+
+def drop_prefix(headers: HTTPHeaders, prefix: str) -> None:
+    """Drop all headers whose name starts with a prefix in canonical case."""
+    for name in [name for name in headers if name.startswith(prefix)]:
+        del headers[name]
 
 
 def keeps_alive(answer: Answer) -> bool:
@@ -169,77 +177,82 @@
         ),
     )
     delegate = _AnswerDelegate()
-    sending = asyncio.ensure_future(_send(codec, head, body))
     reading = asyncio.ensure_future(_read(codec, delegate))
+    sending: asyncio.Future[None] | None = None
+    if body.whole and body.can_replay:
+        _send_whole(codec, head, body)
+    else:
+        sending = asyncio.ensure_future(_send(codec, head, body))
     try:
-        result = await _first_of(
-            delegate, sending, reading, first_byte_s, check_after_s, check
+        result = await _wait_for_head(
+            delegate, sending, first_byte_s, check_after_s, check
         )
         yield result
         if isinstance(result, Success):
             answer = result.unwrap()
-            if answer.body.whole and keeps_alive(answer) and sending.done():
+            sent = sending is None or (sending.done() and not sending.exception())
+            if answer.body.whole and keeps_alive(answer) and sent:
                 await reading
-                connection.reusable = sending.exception() is None
+                connection.reusable = True
     finally:
         delegate.body.cut_off()
         for task in (sending, reading):
-            task.cancel()
-            with suppress(asyncio.CancelledError, Exception):
-                await task
+            if task is not None and not task.done():
+                task.cancel()
+                with suppress(asyncio.CancelledError, Exception):
+                    await task
 
 
-async def _first_of(
+async def _wait_for_head(
     delegate: _AnswerDelegate,
-    sending: asyncio.Future[None],
-    reading: asyncio.Future[None],
+    sending: asyncio.Future[None] | None,
     first_byte_s: float,
     check_after_s: float,
     check: Callable[[], Awaitable[bool]] | None,
 ) -> Result[Answer, ExchangeFailure]:
     """Wait for the answer's head, the end of the connection or the time limit."""
-    waiting: set[asyncio.Future] = {delegate.head, reading}
+    head = delegate.head
     loop = asyncio.get_running_loop()
     limit = loop.time() + first_byte_s
-    if check is not None and check_after_s < first_byte_s:
-        while loop.time() + check_after_s < limit:
-            done, _ = await asyncio.wait(
-                waiting, timeout=check_after_s, return_when=asyncio.FIRST_COMPLETED
-            )
-            if done or not await check():
-                limit = loop.time()
-                break
-            check_after_s *= 2
-    if not delegate.head.done() and not reading.done():
-        await asyncio.wait(
-            waiting,
-            timeout=max(0.0, limit - loop.time()),
-            return_when=asyncio.FIRST_COMPLETED,
-        )
-    if delegate.head.done():
-        return Success(delegate.head.result())
-    if sending.done() and isinstance(sending.exception(), BodyCut):
+    while check is not None and loop.time() + check_after_s < limit:
+        await asyncio.wait({head}, timeout=check_after_s)
+        if head.done():
+            break
+        if not await check():
+            limit = loop.time()
+        check_after_s *= 2
+    if not head.done():
+        await asyncio.wait({head}, timeout=max(0.0, limit - loop.time()))
+    if sending is not None and sending.done() and sending.exception() is not None:
         return Failure(ExchangeFailure(True, "body_cut"))
-    if not reading.done():
+    if not head.done():
         return Failure(ExchangeFailure(True, "silent"))
-    malformed = isinstance(reading.exception(), HTTPInputError)
-    return Failure(ExchangeFailure(True, "malformed" if malformed else "reset"))
+    answer = head.result()
+    if isinstance(answer, str):
+        return Failure(ExchangeFailure(True, answer))
+    return Success(answer)
+
+
+def _start_line(head: RequestHead) -> RequestStartLine:
+    return RequestStartLine(head.method, head.path, "HTTP/1.1")
+
+
+def _send_whole(codec: HTTP1Connection, head: RequestHead, body: BodyStream) -> None:
+    """Send head and body in one write; the reading side reports a lost connection."""
+    if body.received_bytes or "Content-Length" in head.headers:
+        head.headers["Content-Length"] = str(body.received_bytes)
+    try:
+        codec.write_headers(_start_line(head), head.headers, body.kept or None)
+        codec.finish()
+    except (StreamClosedError, HTTPOutputError):
+        return
 
 
 async def _send(codec: HTTP1Connection, head: RequestHead, body: BodyStream) -> None:
-    headers = head.headers
-    has_body = body.received_bytes > 0 or not body.whole
-    if body.whole and body.can_replay and (has_body or "Content-Length" in headers):
-        headers["Content-Length"] = str(body.received_bytes)
-    start = RequestStartLine(head.method, head.path, "HTTP/1.1")
     try:
-        if body.whole and body.can_replay:
-            # One write for the whole request: the target reads it at once.
-            await codec.write_headers(start, headers, body.kept or None)
-        else:
-            await codec.write_headers(start, headers)
-            async for chunk in body.chunks():
-                await codec.write(chunk)
+        await codec.write_headers(_start_line(head), head.headers)
+        async for chunk in body.chunks():
+            await codec.write(chunk)
         codec.finish()
     except BodyCut:
         codec.close()
@@ -250,9 +263,14 @@
 
 
 async def _read(codec: HTTP1Connection, delegate: _AnswerDelegate) -> None:
+    cause = "reset"
     try:
         await codec.read_response(delegate)
     except StreamClosedError:
         return
+    except HTTPInputError:
+        cause = "malformed"
     finally:
         delegate.body.cut_off()
+        if not delegate.head.done():
+            delegate.head.set_result(cause)
--- a/siskinlug/inbound.py
+++ b/siskinlug/inbound.py
@@ -1,7 +1,7 @@
 """Server side of HTTP: one task for each request, bodies streamed both ways."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from contextlib import suppress
 from typing import NamedTuple
 
@@ -21,7 +21,7 @@
 from tornado.netutil import bind_sockets
 
 from siskinlug.body import BodyCut, BodyStream
-from siskinlug.exchange import CHUNK_BYTES, Answer, RequestHead, end_to_end
+from siskinlug.exchange import CHUNK_BYTES, Answer, RequestHead, drop_hop_by_hop
 from siskinlug.logs import log_event
 from siskinlug.verdict import Reason, Refusal, may_have_run, not_run, refusal_body
 
@@ -228,7 +228,7 @@
 async def stream_answer(
     inbound: Inbound,
     answer: Answer,
-    extra: HTTPHeaders | None = None,
+    extra: Mapping[str, str] | None = None,
     *,
     observe: Callable[[bytes], None] = lambda _chunk: None,
 ) -> int:
@@ -247,8 +247,9 @@
         BodyCut: The answer was cut short; the connection must be broken.
         StreamClosedError: The receiver went away.
     """
-    headers = end_to_end(answer.headers)
-    for name, value in extra.get_all() if extra else ():
+    headers = answer.headers
+    drop_hop_by_hop(headers)
+    for name, value in extra.items() if extra else ():
         headers[name] = value
     _close_when_leaving(inbound, headers)
     start = ResponseStartLine("HTTP/1.1", answer.status, answer.reason)
--- a/siskinlug/logs.py
+++ b/siskinlug/logs.py
@@ -1,11 +1,11 @@
 """Logs: JSON lines through absl.logging, one schema for all processes."""
 
-import json
 import logging as std_logging
 import sys
 from collections.abc import Callable
 from typing import Any
 
+import msgspec
 from absl import flags, logging
 
 _LEVELS = {
@@ -36,7 +36,7 @@
             line["message"] = record.getMessage()
         if record.exc_info:
             line["exception"] = self.formatException(record.exc_info)
-        return json.dumps(line, default=str)
+        return msgspec.json.encode(line, enc_hook=str).decode()
 
 
 def configure_logs(*, node: str, level: str) -> None:
--- a/siskinlug/owner.py
+++ b/siskinlug/owner.py
@@ -7,7 +7,6 @@
 from typing import NamedTuple
 
 from returns.result import Failure, Result, Success
-from tornado.httputil import HTTPHeaders
 
 from siskinlug.admission import Slot, Ticket, load_report, open_slot
 from siskinlug.announcements import Owned, OwnedTargets
@@ -25,7 +24,8 @@
     Answer,
     ExchangeFailure,
     RequestHead,
-    end_to_end,
+    drop_hop_by_hop,
+    drop_prefix,
     exchange,
     has_length,
 )
@@ -348,15 +348,14 @@
     body: BodyStream,
 ) -> AsyncIterator[Result[Answer, ExchangeFailure]]:
     left_s = request.deadline - owner.monotonic()
-    headers = end_to_end(head.headers)
-    for name in [name for name in headers if name.startswith("Siskinlug-")]:
-        del headers[name]
+    headers = head.headers
+    drop_hop_by_hop(headers)
+    drop_prefix(headers, "Siskinlug-")
     headers[DEADLINE_HEADER] = str(max(1, int(left_s * 1000)))
-    to_target = RequestHead(head.method, head.path, headers)
-    async with exchange(connection, to_target, body, first_byte_s=left_s) as result:
+    async with exchange(connection, head, body, first_byte_s=left_s) as result:
         if isinstance(result, Success):
             answer = result.unwrap()
-            _drop_internal_headers(answer.headers)
+            drop_prefix(answer.headers, "Siskinlug-")
             if not has_length(head.method, answer):
                 # Without a length a cut answer would look like a whole one.
                 yield Failure(ExchangeFailure(True, "malformed"))
@@ -364,11 +363,6 @@
         yield result
 
 
-def _drop_internal_headers(headers: HTTPHeaders) -> None:
-    for name in [name for name in headers if name.startswith("Siskinlug-")]:
-        del headers[name]
-
-
 def _lost(
     owner: Owner,
     request: AttemptRequest,
--- a/siskinlug/peer_server.py
+++ b/siskinlug/peer_server.py
@@ -97,15 +97,15 @@
         await _send_attempt_refusal(owner, inbound, result.failure(), request.target)
 
 
-def _load_header(owner: Owner, target: str) -> HTTPHeaders:
+def _load_header(owner: Owner, target: str) -> dict[str, str]:
     load = load_of(owner, target)
-    return HTTPHeaders({"Siskinlug-Load": encode_load(load)} if load else {})
+    return {"Siskinlug-Load": encode_load(load)} if load else {}
 
 
 async def _send_attempt_refusal(
     owner: Owner, inbound: Inbound, refusal: Refusal, target: str
 ) -> None:
-    headers = _load_header(owner, target)
+    headers = HTTPHeaders(_load_header(owner, target))
     headers["Siskinlug-Verdict"] = refusal.verdict.value
     headers["Siskinlug-Reason"] = refusal.reason.value
     if refusal.detail:
