--- a/siskinlug/node.py
+++ b/siskinlug/node.py
@@ -39,6 +39,7 @@
 from siskinlug.clock import HybridClock, wall_clock_ms
 from siskinlug.config_sync import (
     answer_configuration,
+    configuration_page,
     follow_configuration,
     make_configuration,
     note_position,
@@ -449,6 +450,7 @@
             "/nodes": nodes_page(directory),
             "/targets": targets_page(directory),
             "/tables": tables_page(node.tables),
+            "/configuration": configuration_page(node.configuration),
             "/timeline": timeline_page(node.timeline),
             "/explain": explain_page(node.entry),
         }
