Generate the reference of settings, routes and pools from their specifications

Each parser now carries what it accepts, so the page states the ranges that are checked. `python -m siskinlug.reference` rewrites docs/configuration.md, and a test fails when the page is out of date. Ruled out: ranges repeated in the documentation texts, which nothing would keep equal to the parsers.

--- a/siskinlug/ini.py
+++ b/siskinlug/ini.py
@@ -3,10 +3,12 @@
 import configparser
 import re
 from collections.abc import Callable, Mapping
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, TypeVar
 
 from returns.result import Failure, Result, Success
 
+ParserT = TypeVar("ParserT", bound=Callable[[str], Any])
+
 # The same pattern as configparser's, so that both find the same sections.
 _SECTION = re.compile(r"^\[(?P<name>.+)\]")
 _KEY = re.compile(r"^(?P<name>[^\s=:#;\[][^=:]*?)\s*[=:]")
@@ -48,9 +50,23 @@
     unit: str
     doc: str
 
+    @property
+    def accepts(self) -> str:
+        """What the key accepts, with its range, in a few words."""
+        return _ACCEPTS_BY_PARSER[self.parse]
+
 
 REQUIRED = object()
 
+# What each parser accepts, for the documentation.
+_ACCEPTS_BY_PARSER: dict[Callable[[str], Any], str] = {}
+
+
+def describe(parse: ParserT, accepts: str) -> ParserT:
+    """Note what a parser accepts, and return the parser."""
+    _ACCEPTS_BY_PARSER[parse] = accepts
+    return parse
+
 
 def number(low: float, high: float) -> Callable[[str], float]:
     """Accept a finite number between two bounds, both included."""
@@ -64,7 +80,7 @@
             raise ValueError(f"{text} is outside {low:g} to {high:g}")
         return value
 
-    return parse
+    return describe(parse, f"number, {low:g} to {high:g}")
 
 
 def integer(low: int, high: int) -> Callable[[str], int]:
@@ -79,7 +95,7 @@
             raise ValueError(f"{text} is outside {low} to {high}")
         return value
 
-    return parse
+    return describe(parse, f"whole number, {low} to {high}")
 
 
 def one_of(*choices: str) -> Callable[[str], str]:
@@ -90,7 +106,7 @@
             raise ValueError(f"{text!r} is not one of {', '.join(choices)}")
         return text
 
-    return parse
+    return describe(parse, ", ".join(choices))
 
 
 def boolean(text: str) -> bool:
@@ -105,6 +121,10 @@
     return tuple(text.replace(",", " ").split())
 
 
+describe(boolean, "yes, no")
+describe(words, "words")
+
+
 def matching(pattern: str, description: str) -> Callable[[str], str]:
     """Accept text that a regular expression matches in full."""
     compiled = re.compile(pattern)
@@ -114,7 +134,7 @@
             raise ValueError(f"{text!r} is not {description}")
         return text
 
-    return parse
+    return describe(parse, description)
 
 
 def locate_keys(text: str) -> dict[tuple[str, str], int]:
--- a/siskinlug/tables.py
+++ b/siskinlug/tables.py
@@ -11,6 +11,7 @@
     KeySpec,
     boolean,
     check_section,
+    describe,
     integer,
     locate_keys,
     matching,
@@ -124,7 +125,7 @@
             raise ValueError("a word is given twice")
         return values
 
-    return parse_all
+    return describe(parse_all, f"words, each {KeySpec(parse, '', '', '').accepts}")
 
 
 def _weights(text: str) -> dict[str, float]:
@@ -141,6 +142,8 @@
     return weight_by_domain
 
 
+describe(_weights, "words `domain:weight`, each weight 0.01 to 100")
+
 ROUTE_SPECS: Mapping[str, KeySpec] = {
     "host": KeySpec(_HOST, ANY, "", "Host to match without port; `*` is any."),
     "path_prefix": KeySpec(
--- a/tests/test_tables.py
+++ b/tests/test_tables.py
@@ -8,6 +8,7 @@
 from returns.result import Failure, Success
 from testtools.matchers import Equals, Is, IsInstance, MatchesSetwise, StartsWith
 
+from siskinlug.reference import with_reference
 from siskinlug.routing import match_route
 from siskinlug.tables import Route, Tables, parse_pools, parse_routes, read_tables
 
@@ -155,3 +156,10 @@
             tables = _tables(Route(f"r{n}", "*", "/", (), "p"))
             found = match_route(tables, "GET", "h", "/")
             self.assertThat(found and found.name, Equals(f"r{n}"))
+
+
+class ReferenceTest(testtools.TestCase):
+    def test_reference_page_is_up_to_date(self) -> None:
+        """Guards against documentation that drifts from the keys that are checked."""
+        page = (EXAMPLES.parent / "docs" / "configuration.md").read_text()
+        self.assertThat(with_reference(page), Equals(page))
