Interleave the appends and reads of racing publishes in their property test

The log in memory never suspended, so publishes ran one after the other up to their first wait and hardly raced. Calls now take drawn times before and after their effect.

--- a/tests/fake_configuration_log.py
+++ b/tests/fake_configuration_log.py
@@ -1,5 +1,6 @@
 """A log in memory whose appends can be lost, late or doubled, for property tests."""
 
+import asyncio
 import json
 from collections.abc import Iterator
 from typing import Any
@@ -18,6 +19,7 @@
         faults: Fates of the next appends: ``ok``, ``refused`` (not applied), ``lost``
             (applied, answer lost), ``late`` (answer lost, applied by
             ``deliver_late``), ``doubled`` (applied twice).
+        pauses: Seconds that the next calls take before and after they take effect.
     """
 
     def __init__(self) -> None:
@@ -26,6 +28,7 @@
         self.down = False
         self.late: list[Any] = []
         self.faults: Iterator[str] = iter(())
+        self.pauses: Iterator[float] = iter(())
 
     def log(self) -> Log:
         return Log(self._append, self._read, lambda: None)
@@ -50,6 +53,12 @@
         self, stream: str, record: Any, *, timeout_s: float = 0
     ) -> Result[int, LogError]:
         fate = next(self.faults, "ok")
+        await asyncio.sleep(next(self.pauses, 0))
+        result = self._apply(fate, record)
+        await asyncio.sleep(next(self.pauses, 0))
+        return result
+
+    def _apply(self, fate: str, record: Any) -> Result[int, LogError]:
         if self.down or fate == "refused":
             return Failure(LogError(Effect.NOT_APPLIED, "down"))
         if fate == "late":
@@ -63,6 +72,7 @@
     async def _read(
         self, stream: str, start: int, *, limit: int = 100, timeout_s: float = 0
     ) -> Result[LogPage, LogError]:
+        await asyncio.sleep(next(self.pauses, 0))
         if self.down:
             return Failure(LogError(Effect.UNAVAILABLE, "down"))
         end = len(self.all_records)
--- a/tests/test_publishing.py
+++ b/tests/test_publishing.py
@@ -44,12 +44,18 @@
 
 
 class PublishingTest(testtools.TestCase):
-    @given(fates=FATES, racers=st.integers(1, 3), arrives=st.booleans())
+    @given(
+        fates=FATES,
+        pauses=st.lists(st.sampled_from([0, 0.01, 0.3]), max_size=30),
+        racers=st.integers(1, 3),
+        arrives=st.booleans(),
+    )
     def test_outcomes_agree_with_the_log(
-        self, fates: list[str], racers: int, arrives: bool
+        self, fates: list[str], pauses: list[float], racers: int, arrives: bool
     ) -> None:
         """Guards against an outcome that a late append or another operator belies."""
         fake = FakeLog()
+        fake.pauses = iter(pauses)
         fake.faults = iter(fates)
 
         async def race() -> None:
