--- a/siskinlug/body.py
+++ b/siskinlug/body.py
@@ -50,13 +50,16 @@
         """Add data; the future returned, if any, resolves when there is room."""
         if self.cut:
             return None
+        room = self._replay_bytes - self.received_bytes
         self.received_bytes += len(chunk)
         if self.received_bytes > self._limit_bytes:
             self.too_large = True
             self.cut_off()
             return None
-        if self.can_replay:
-            self._kept.append(chunk)
+        if room > 0:
+            # The start is kept of a longer body as well: fingerprints digest it, and
+            # must not depend on where chunks end.
+            self._kept.append(chunk[:room])
         self._waiting.append(chunk)
         self._waiting_bytes += len(chunk)
         self._changed.set()
