--- a/siskinlug/entry.py
+++ b/siskinlug/entry.py
@@ -22,6 +22,14 @@
 from siskinlug.account_rates import AccountRates, check_rate
 from siskinlug.body import BodyCut
 from siskinlug.choice import Candidate
+from siskinlug.claims import (
+    MAX_ANSWER_BYTES,
+    Claims,
+    KeptAnswer,
+    claim,
+    key_digest,
+    settle,
+)
 from siskinlug.connections import (
     IDLE_MAX_S,
     NON_IDEMPOTENT_IDLE_MAX_S,
@@ -30,7 +38,7 @@
 )
 from siskinlug.directory import Directory, NodeRecord, TargetRecord
 from siskinlug.exchange import Answer, RequestHead, end_to_end, exchange
-from siskinlug.inbound import Inbound, send_refusal, stream_answer
+from siskinlug.inbound import Inbound, send_answer, send_refusal, stream_answer
 from siskinlug.links import Links, link_up
 from siskinlug.load import LoadReport, decode_load
 from siskinlug.logs import log_event
@@ -46,6 +54,7 @@
 )
 from siskinlug.quarantine import fingerprint_of
 from siskinlug.retries import (
+    FREE_REASONS,
     RetryBudget,
     make_retry_budget,
     may_retry,
@@ -62,6 +71,8 @@
 RECENT_SERVICE_TIMES = 64
 MIN_BASELINE_SAMPLES = 8
 ANSWER_GRACE_S = 0.2
+AVOID_S = 1.0
+MAX_KEY_CHARS = 256
 # A target behind a link whose last heartbeat failed is a last resort.
 LINK_DOWN_PENALTY_MS = 1000.0
 
@@ -76,6 +87,7 @@
     long_work: bool
     deadline: float
     fingerprint: str
+    key: str
     head: RequestHead
 
 
@@ -123,6 +135,7 @@
         monotonic: Callable[[], float],
         service_times: ServiceTimes,
         account_rates: AccountRates,
+        claims: Claims,
     ) -> None:
         self.directory = directory
         self.owner = owner
@@ -137,9 +150,11 @@
         self.monotonic = monotonic
         self.service_times = service_times
         self.account_rates = account_rates
+        self.claims = claims
         self.load_by_target: dict[str, tuple[LoadReport, float]] = {}
         self.budget_by_pool: dict[str, RetryBudget] = {}
         self.recent_by_route: dict[str, deque[float]] = {}
+        self.avoid_until_by_target: dict[str, float] = {}
         self.count = 0
 
 
@@ -168,7 +183,7 @@
         else:
             request = matched.unwrap()
             route_name, pool_name = request.route.name, request.pool.name
-            refusal = await _run_attempts(entry, inbound, request, attempted)
+            refusal = await _run_once(entry, inbound, request, attempted)
         if refusal is not None:
             verdict, reason = refusal.verdict, refusal.reason.value
             await send_refusal(inbound, refusal, request_id=request_id)
@@ -240,6 +255,10 @@
     # A small body is read whole first, so that a slow caller holds no slot.
     await inbound.body.wait_whole()
     key = head.headers.get("Idempotency-Key", "")
+    if len(key) > MAX_KEY_CHARS:
+        detail = f"Idempotency-Key is longer than {MAX_KEY_CHARS} characters"
+        return Failure(not_run(Reason.BAD_REQUEST, detail))
+    named = f"{account}:{key}" if key else ""
     return Success(
         Request(
             request_id=request_id,
@@ -249,7 +268,8 @@
             long_work=route.work == "long"
             or (route.work == "learned" and is_long(entry.service_times, route.name)),
             deadline=started_at + route.timeout_s,
-            fingerprint=fingerprint_of(key, head.method, head.path, inbound.body),
+            fingerprint=_fingerprint(named, inbound),
+            key=key,
             head=RequestHead(
                 head.method, head.path, _headers_for_target(inbound, request_id)
             ),
@@ -257,6 +277,17 @@
     )
 
 
+def _fingerprint(key: str, inbound: Inbound) -> str:
+    head = inbound.head
+    return fingerprint_of(
+        key,
+        head.method,
+        head.path,
+        inbound.body,
+        declared_length=head.headers.get("Content-Length", ""),
+    )
+
+
 def _headers_for_target(inbound: Inbound, request_id: str) -> HTTPHeaders:
     headers = end_to_end(inbound.head.headers)
     for name in [name for name in headers if name.startswith("Siskinlug-")]:
@@ -276,8 +307,74 @@
     return headers
 
 
-async def _run_attempts(
+async def _run_once(
     entry: Entry, inbound: Inbound, request: Request, attempted: list[Attempted]
+) -> Refusal | None:
+    """Run a request, under a claim of its idempotency key if it has one."""
+    if not request.key or request.route.idempotent:
+        return await _run_attempts(entry, inbound, request, attempted, KeptCopy(0))
+    claimed = await claim(
+        entry.claims,
+        key_digest(request.account, request.key),
+        _fingerprint("", inbound),
+        _new_id(entry),
+        request.route,
+    )
+    if isinstance(claimed, Failure):
+        return claimed.failure()
+    held = claimed.unwrap()
+    if held.answer is not None:
+        await _send_kept(inbound, held.answer, request.request_id)
+        return None
+    verdict = Verdict.MAY_HAVE_RUN
+    copy = KeptCopy(MAX_ANSWER_BYTES)
+    try:
+        refusal = await _run_attempts(entry, inbound, request, attempted, copy)
+        verdict = Verdict.RAN if refusal is None else refusal.verdict
+        return refusal
+    finally:
+        headers = list(copy.headers.get_all())
+        await settle(held, verdict, copy.status, headers, copy.whole_body())
+
+
+async def _send_kept(inbound: Inbound, kept: KeptAnswer, request_id: str) -> None:
+    headers = HTTPHeaders()
+    for name, value in kept["headers"]:
+        headers.add(name, value)
+    headers["X-Request-Id"] = request_id
+    headers["Idempotent-Replayed"] = "true"
+    await send_answer(inbound, kept["status"], headers, kept["body"])
+
+
+class KeptCopy:
+    """Copy of an answer on its way to the caller, if it is small enough to keep."""
+
+    def __init__(self, limit_bytes: int) -> None:
+        self.limit_bytes = limit_bytes
+        self.status = 0
+        self.headers = HTTPHeaders()
+        self._chunks: list[bytes] | None = []
+        self._size = 0
+
+    def add(self, chunk: bytes) -> None:
+        """Take a part of the body as it is passed on."""
+        self._size += len(chunk)
+        if self._chunks is not None:
+            self._chunks.append(chunk)
+            if self._size > self.limit_bytes:
+                self._chunks = None
+
+    def whole_body(self) -> bytes | None:
+        """Return the body, or ``None`` if it was too large."""
+        return None if self._chunks is None else b"".join(self._chunks)
+
+
+async def _run_attempts(
+    entry: Entry,
+    inbound: Inbound,
+    request: Request,
+    attempted: list[Attempted],
+    copy: KeptCopy,
 ) -> Refusal | None:
     """Try targets until one answers or a refusal is final.
 
@@ -295,14 +392,20 @@
         async with _open(entry, inbound, request, candidate) as result:
             if isinstance(result, Success):
                 attempted.append(Attempted(candidate.target, candidate.node, None))
-                await _pass_on(entry, inbound, request, candidate, result.unwrap())
+                await _pass_on(
+                    entry, inbound, request, candidate, result.unwrap(), copy
+                )
                 note_success(budget)
                 return None
             refusal = result.failure()
         attempted.append(Attempted(candidate.target, candidate.node, refusal))
+        _avoid(entry, candidate.target, refusal)
         entry.metrics.attempts.add(
             1, {"route": request.route.name, "outcome": refusal.reason.value}
         )
+        if inbound.body.too_large:
+            # A target may have begun to work on the part that it got.
+            return may_have_run(Reason.BODY_TOO_LARGE)
         if not _may_try_again(entry, inbound, request, refusal, attempted, budget):
             return refusal
         entry.metrics.retries.add(1, {"pool": request.pool.name})
@@ -419,7 +522,22 @@
 ) -> Candidate | None:
     tried = {attempt.target for attempt in attempted}
     found = candidates(entry, request.route, request.pool)
-    return entry.choose([c for c in found if c.target not in tried])
+    left = [c for c in found if c.target not in tried]
+    now = entry.monotonic()
+    open_now = [
+        c for c in left if entry.avoid_until_by_target.get(c.target, 0.0) <= now
+    ]
+    return entry.choose(open_now or left)
+
+
+def _avoid(entry: Entry, target: str, refusal: Refusal) -> None:
+    """Pass over a target for a moment if it could not take a request at all.
+
+    Its load report shows free slots, so without this it would attract requests until
+    its owner's view has spread.
+    """
+    if refusal.verdict is Verdict.NOT_RUN and refusal.reason in FREE_REASONS:
+        entry.avoid_until_by_target[target] = entry.monotonic() + AVOID_S
 
 
 @asynccontextmanager
@@ -573,6 +691,7 @@
     request: Request,
     candidate: Candidate,
     answer: Answer,
+    copy: KeptCopy,
 ) -> None:
     """Pass an answer on and learn its service time."""
     for name in [name for name in answer.headers if name.startswith("Siskinlug-")]:
@@ -581,7 +700,8 @@
         del answer.headers[name]
     extra = HTTPHeaders({"Siskinlug-Served-By": candidate.target})
     extra["X-Request-Id"] = request.request_id
-    await stream_answer(inbound, answer, extra)
+    copy.status, copy.headers = answer.status, end_to_end(answer.headers)
+    await stream_answer(inbound, answer, extra, observe=copy.add)
     entry.metrics.attempts.add(
         1, {"route": request.route.name, "outcome": f"{answer.status // 100}xx"}
     )
