--- a/siskinlug/admission.py
+++ b/siskinlug/admission.py
@@ -15,13 +15,15 @@
 from siskinlug.service_times import Quantile
 from siskinlug.verdict import Reason, Refusal, not_run
 
-# A queue that has not been empty for this long is standing, not a burst
-# (Nichols and Jacobson, CoDel, 2012).
+# A queue that has not been empty for this long is standing, not a burst (Nichols and
+# Jacobson, CoDel, 2012). The default queue of a target drains in about five service
+# times, so slow work gets as many.
 STANDING_AFTER_S = 0.1
+STANDING_AFTER_SERVICES = 5.0
 # Longest wait in a standing queue, relative to the p99 of short service times: the
 # p99 of wait and service together then stays within twice that of service alone.
 STANDING_WAIT_RATIO = 0.5
-STANDING_WAIT_MIN_S = 0.005
+STANDING_MIN_ANSWERS = 20
 # Requests by which an account may fall behind its share and still catch up: about
 # 0.1 s of a target of 6 slots at 20 ms. Without
 # it an account that sends no more than its share loses every tie for a queue place.
@@ -222,7 +224,8 @@
         self._p99 = Quantile(0.99, step=0.05)
         self._mean_by_class = {False: 0.0, True: 0.0}
         self._lowered = monotonic()
-        self._queue_empty = monotonic()
+        self._queue_emptied = -math.inf
+        self._busy_since = monotonic()
         self._demand = 0.0
         self._demand_at = monotonic()
         self._failing = 0.0
@@ -277,10 +280,16 @@
 
     def allowed_wait_s(self) -> float:
         """Return the longest wait allowed now, in seconds."""
-        if self.monotonic() - self._queue_empty < STANDING_AFTER_S:
+        mean = self._mean_by_class[False]
+        after_s = max(STANDING_AFTER_S, STANDING_AFTER_SERVICES * mean)
+        if (
+            self._p99.count < STANDING_MIN_ANSWERS
+            or self.monotonic() - self._busy_since < after_s
+        ):
             return self.queue_wait_s
-        standing = max(self._p99.value * STANDING_WAIT_RATIO, STANDING_WAIT_MIN_S)
-        return min(self.queue_wait_s, standing)
+        # One mean is what the first in the queue of a single slot waits; with less,
+        # that slot would stand idle between arrivals.
+        return min(self.queue_wait_s, max(self._p99.value * STANDING_WAIT_RATIO, mean))
 
     async def enter(self, ticket: Ticket) -> Result[Slot, Refusal]:
         """Wait for a slot; use ``open_slot``, which also gives it back."""
@@ -298,8 +307,10 @@
         self._note_demand()
         loop = asyncio.get_running_loop()
         waiting = _Waiting(ticket, queue.tag(ticket.account), now, loop.create_future())
-        if not self.queued:
-            self._queue_empty = now
+        # The queue of an overloaded target is empty for moments, since stale tickets
+        # are refused together; such a gap does not make the next ones a burst.
+        if not self.queued and now - self._queue_emptied > self._mean_by_class[False]:
+            self._busy_since = now
         queue.push(waiting)
         longest = min(self.queue_wait_s, max(ticket.deadline - now, 0.0))
         waiting.timer = loop.call_later(longest, self._expire, waiting)
@@ -364,8 +375,6 @@
                 self._settle(waiting, Failure(refusal))
             else:
                 self._settle(waiting, Success(self._start(waiting.ticket, now)))
-        if not self.queued:
-            self._queue_empty = self.monotonic()
 
     def refuse_queued(self, reason: Reason) -> None:
         """Refuse all that is queued as not run."""
@@ -429,19 +438,35 @@
 
     def _evict_for(self, ticket: Ticket, queue: _FairQueue) -> bool:
         """Refuse the last queued ticket if it comes after this one."""
-        if not queue.waiting:
-            return False
+        other = self._queue_by_class[not ticket.long_work]
+        if (
+            queue.waiting
+            and (ticket.priority, queue.tag(ticket.account))
+            < (queue.waiting[-1].order[:2])
+        ):
+            self._evict(queue)
+            return True
+        # Each class may hold half of the queue, or one could fill it and the other
+        # would be refused while slots for it are free or reserved.
+        if (
+            self.queued >= self.queue
+            and len(queue.waiting) < len(other.waiting)
+            and ticket.priority <= other.waiting[-1].ticket.priority
+        ):
+            self._evict(other)
+            return True
+        return False
+
+    def _evict(self, queue: _FairQueue) -> None:
         last = queue.waiting[-1]
-        if (ticket.priority, queue.tag(ticket.account)) >= last.order[:2]:
-            return False
         queue.remove(last)
         refusal = not_run(
             Reason.QUEUE_FULL,
-            "displaced by an account below its share or a request of higher priority",
+            "displaced by an account below its share, a request of higher priority or"
+            " the other class of work",
             retry_after_s=self._retry_after_s(self.expected_wait_s(last.ticket)),
         )
         self._settle(last, Failure(refusal))
-        return True
 
     def _refuse_on_start(self, waiting: _Waiting, now: float) -> Refusal | None:
         if now + self._usual_s(waiting.ticket) > waiting.ticket.deadline:
@@ -449,7 +474,11 @@
                 Reason.DEADLINE, "could no longer finish before the deadline"
             )
         waited = now - waiting.since
-        if not waiting.ticket.long_work and waited > self.allowed_wait_s():
+        # The last one in the queue is served, or the slot would have nothing to do.
+        alone = not self._queue_by_class[waiting.ticket.long_work].waiting
+        if waiting.ticket.long_work or alone:
+            return None
+        if waited > self.allowed_wait_s():
             return not_run(
                 Reason.QUEUE_TIMEOUT,
                 f"waited {waited:.3f} s in a standing queue",
@@ -476,6 +505,8 @@
         """Remove a ticket whose task was cancelled, or free the slot it got."""
         self._note_demand()
         if self._queue_by_class[waiting.ticket.long_work].remove(waiting):
+            if not self.queued:
+                self._queue_emptied = self.monotonic()
             self.count[Reason.CANCELLED.value] += 1
             return
         if waiting.future.done() and not waiting.future.cancelled():
@@ -484,6 +515,8 @@
                 result.unwrap().release()
 
     def _settle(self, waiting: _Waiting, result: Result[Slot, Refusal]) -> None:
+        if not self.queued:
+            self._queue_emptied = self.monotonic()
         if waiting.future.done():
             # The task was cancelled in this turn of the loop.
             if isinstance(result, Success):
