--- a/siskinlug/choice.py
+++ b/siskinlug/choice.py
@@ -174,7 +174,9 @@
         def cost_ms(place: int) -> float:
             candidate = usable[place]
             distance = min(candidate.distance, len(DISTANCE_MS) - 1)
-            return (
+            # Differences below 1 ms mean nothing; the first drawn wins, so that a
+            # target is not avoided for what a stale report still weighs.
+            return round(
                 views[place].expected_ms + DISTANCE_MS[distance] + candidate.penalty_ms
             )
 
--- a/siskinlug/entry.py
+++ b/siskinlug/entry.py
@@ -9,7 +9,6 @@
     Callable,
     Iterable,
     Mapping,
-    Sequence,
 )
 from contextlib import asynccontextmanager
 from functools import partial
@@ -21,7 +20,7 @@
 
 from siskinlug.account_rates import AccountRates, check_rate
 from siskinlug.body import BodyCut
-from siskinlug.choice import Candidate
+from siskinlug.choice import Candidate, Choice
 from siskinlug.connections import (
     IDLE_MAX_S,
     NON_IDEMPOTENT_IDLE_MAX_S,
@@ -89,9 +88,6 @@
     refusal: Refusal | None
 
 
-Choose = Callable[[Sequence[Candidate]], Candidate | None]
-
-
 class EntryPeers(NamedTuple):
     """What an entry asks owners, each over a new connection.
 
@@ -116,7 +112,7 @@
         owner: Owner,
         connections: ConnectionPool,
         tables: Callable[[], Tables],
-        choose: Choose,
+        choose: Choice,
         paths: Paths,
         links: Links,
         peers: EntryPeers,
@@ -428,7 +424,7 @@
     open_now = [
         c for c in left if entry.avoid_until_by_target.get(c.target, 0.0) <= now
     ]
-    return entry.choose(open_now or left)
+    return entry.choose(open_now or left, long_work=request.long_work)
 
 
 def _avoid(entry: Entry, target: str, refusal: Refusal) -> None:
@@ -596,7 +592,7 @@
     """Pass an answer on and learn its service time."""
     for name in [name for name in answer.headers if name.startswith("Siskinlug-")]:
         if name == "Siskinlug-Service-Ms":
-            _learn(entry, request.route.name, answer.headers[name])
+            _learn(entry, request.route, answer.headers[name])
         del answer.headers[name]
     extra = HTTPHeaders({"Siskinlug-Served-By": candidate.target})
     extra["X-Request-Id"] = request.request_id
@@ -606,13 +602,15 @@
     )
 
 
-def _learn(entry: Entry, route: str, service_ms: str) -> None:
+def _learn(entry: Entry, route: Route, service_ms: str) -> None:
     try:
         service_s = float(service_ms) / 1000
     except ValueError:
         return
-    observe_service_time(entry.service_times, route, service_s)
-    recent = entry.recent_by_route.setdefault(route, deque(maxlen=RECENT_SERVICE_TIMES))
+    observe_service_time(entry.service_times, route.name, service_s, pool=route.pool)
+    recent = entry.recent_by_route.setdefault(
+        route.name, deque(maxlen=RECENT_SERVICE_TIMES)
+    )
     recent.append(service_s)
 
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -263,7 +263,7 @@
         self.assertThat(outcomes[-2:], Equals(["ran", "ran"]))
 
     def test_the_limit_falls_on_shed_and_recovers(self) -> None:
-        """Guards against pressing on a target that sheds, and against never returning."""
+        """Guards against pressing on a target that sheds, and never returning."""
         shed = [Job(i * 0.1, 0.05, shed=True) for i in range(10)]
         load, _ = _play(shed, slots=6)
         self.assertThat(load.admission.limit_now, Equals(2))
--- /dev/null
+++ b/tests/test_load_rules.py
@@ -0,0 +1,304 @@
+"""Choice, retries, service times and account rates."""
+
+import itertools
+from collections import Counter
+from random import Random
+
+import testtools
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools.matchers import Equals, GreaterThan, LessThan
+
+from siskinlug.account_rates import MAX_ACCOUNTS, check_rate, make_account_rates
+from siskinlug.choice import Candidate, make_choice
+from siskinlug.load import LoadReport, decode_load, encode_load
+from siskinlug.retries import (
+    FINAL_REASONS,
+    FREE_REASONS,
+    make_retry_budget,
+    may_hedge,
+    may_retry,
+    note_success,
+    try_spend,
+)
+from siskinlug.service_times import (
+    MAX_KEYS,
+    Quantile,
+    is_long,
+    make_service_times,
+    observe,
+)
+from siskinlug.tables import Route
+from siskinlug.verdict import Reason, Refusal, Verdict
+
+
+def _clock() -> float:
+    return 0.0
+
+
+def _report(target: str, in_use: int = 0, queued: int = 0) -> LoadReport:
+    wait_ms = 20.0 * (queued + 1) if in_use >= 4 else 0.0
+    return LoadReport(target, 4, in_use, queued, wait_ms, 20.0, 4 - in_use, wait_ms)
+
+
+def _candidate(target: str, load: LoadReport | None, **fields: float) -> Candidate:
+    return Candidate(target, target, 2, 1.0, 4, load)._replace(**fields)
+
+
+def _draw(candidates: list[Candidate], draws: int = 1000, **how: bool) -> Counter[str]:
+    choose = make_choice(random=Random(1))
+    found: Counter[str] = Counter()
+    for _ in range(draws):
+        # New report objects, as if each answer brought one.
+        fresh = [c._replace(load=c.load and c.load._replace()) for c in candidates]
+        chosen = choose(fresh, **how)
+        found[chosen.target if chosen else ""] += 1
+    return found
+
+
+class ChoiceTest(testtools.TestCase):
+    @given(
+        st.lists(
+            st.builds(
+                Candidate,
+                target=st.sampled_from("abcdef"),
+                node=st.just("n"),
+                distance=st.integers(0, 3),
+                weight=st.sampled_from([0.0, 0.5, 1.0]),
+                slots=st.integers(0, 6),
+                load=st.none()
+                | st.builds(
+                    LoadReport,
+                    st.just("t"),
+                    st.integers(0, 6),
+                    st.integers(0, 9),
+                    st.integers(0, 40),
+                    st.floats(0, 1e4),
+                    st.floats(0, 1e4),
+                ),
+                load_age_s=st.floats(0, 1e5),
+                penalty_ms=st.floats(0, 1e4),
+            )
+        ),
+        st.booleans(),
+    )
+    def test_chooses_a_usable_candidate_or_none(
+        self, candidates: list[Candidate], long_work: bool
+    ) -> None:
+        """Guards against work for a target that the tables give no weight."""
+        chosen = make_choice(random=Random(1))(candidates, long_work=long_work)
+        usable = [c for c in candidates if c.weight > 0 and c.slots > 0]
+        if usable:
+            self.assertIn(chosen, usable)
+        else:
+            self.assertIs(chosen, None)
+
+    def test_avoids_a_full_target(self) -> None:
+        """Guards against a choice that ignores load reports."""
+        loads = {"a": _report("a", 4, 8), "b": _report("b", 1), "c": _report("c", 1)}
+        found = _draw([_candidate(t, load) for t, load in loads.items()])
+        self.assertThat(found["a"], Equals(0))
+
+    def test_a_stale_report_counts_less(self) -> None:
+        """Guards against a target avoided forever for a load of long ago."""
+        loads = {"a": _report("a", 4, 8), "b": _report("b", 2), "c": _report("c", 2)}
+        candidates = [_candidate(t, load, load_age_s=5.0) for t, load in loads.items()]
+        self.assertThat(_draw(candidates)["a"], GreaterThan(200))
+
+    def test_a_busy_own_target_does_not_keep_the_work(self) -> None:
+        """Guards against an entry that never tries targets it has no report of."""
+        own = _candidate("own", _report("own", 4, 2), distance=0)
+        others = [_candidate(t, None) for t in "abc"]
+        self.assertThat(_draw([own, *others])["own"], LessThan(100))
+
+    def test_a_free_own_target_saves_the_hop(self) -> None:
+        """Guards against a second hop where none is needed."""
+        own = _candidate("own", _report("own"), distance=0)
+        others = [_candidate(t, _report(t)) for t in "abc"]
+        self.assertThat(_draw([own, *others])["own"], Equals(1000))
+
+    def test_long_work_goes_where_a_slot_for_it_is_free(self) -> None:
+        """Guards against long work queued behind a reserve while others have room."""
+        full = _report("a", 2)._replace(long_free=0, long_wait_ms=2000.0)
+        candidates = [_candidate("a", full)]
+        candidates += [_candidate(t, _report(t, 3)) for t in "bc"]
+        self.assertThat(_draw(candidates, long_work=True)["a"], Equals(0))
+
+    def test_a_burst_does_not_follow_one_report(self) -> None:
+        """Guards against a burst sent to the target that looked best before it."""
+        loads = {"a": _report("a"), "b": _report("b", 2), "c": _report("c", 2)}
+        candidates = [_candidate(t, load) for t, load in loads.items()]
+        choose = make_choice(random=Random(1))
+        chosen = [choose(candidates) for _ in range(12)]
+        found = Counter(c.target for c in chosen if c)
+        self.assertThat(found["a"], LessThan(8))
+
+    def test_load_reports_survive_encoding(self) -> None:
+        load = LoadReport("t", 6, 3, 2, 12.5, 20.0, 1, 2000.0)
+        self.assertThat(decode_load(encode_load(load)), Equals(load))
+        self.assertThat(decode_load("t;1;2"), Equals(None))
+
+
+_ROUTE = Route("r", "*", "/", (), "p", retries=2)
+_REFUSALS = st.builds(Refusal, st.sampled_from(Verdict), st.sampled_from(Reason))
+
+
+class RetriesTest(testtools.TestCase):
+    @given(st.lists(st.booleans(), max_size=300), st.floats(0, 0.5), st.integers(0, 20))
+    def test_retries_stay_within_the_budget(
+        self, successes: list[bool], ratio: float, burst: int
+    ) -> None:
+        """Guards against retries that multiply the load of a failing pool."""
+        budget = make_retry_budget(ratio=ratio, burst=burst, monotonic=_clock)
+        spent = 0
+        for success in successes:
+            if success:
+                note_success(budget)
+            else:
+                spent += try_spend(budget)
+        most = burst + ratio * sum(successes)
+        self.assertThat(spent, LessThan(most + 1e-6))
+
+    @given(
+        refusal=_REFUSALS,
+        idempotent=st.booleans(),
+        attempt=st.integers(1, 6),
+        left_s=st.floats(-1, 3),
+        expected_s=st.floats(0, 2),
+    )
+    def test_a_retry_is_safe_and_in_time(
+        self,
+        refusal: Refusal,
+        idempotent: bool,
+        attempt: int,
+        left_s: float,
+        expected_s: float,
+    ) -> None:
+        """Guards against non-idempotent work that runs twice, and against loops."""
+        route = _ROUTE._replace(idempotent=idempotent)
+        budget = make_retry_budget(burst=1, monotonic=_clock)
+        if not may_retry(
+            route,
+            refusal,
+            attempt=attempt,
+            now=0.0,
+            deadline=left_s,
+            expected_s=expected_s,
+            budget=budget,
+        ):
+            return
+        self.assertThat(refusal.verdict is Verdict.RAN, Equals(False))
+        self.assertTrue(idempotent or refusal.verdict is Verdict.NOT_RUN)
+        self.assertThat(expected_s, LessThan(left_s + 1e-9))
+        self.assertNotIn(refusal.reason, FINAL_REASONS)
+        self.assertThat(attempt, LessThan(4))
+        planned = refusal.reason in FREE_REASONS
+        free = planned and refusal.verdict is Verdict.NOT_RUN
+        self.assertThat(budget.spent, Equals(0 if free else 1))
+
+    def test_a_planned_stop_needs_no_budget(self) -> None:
+        """Guards against a planned stop that fails requests on a strict route."""
+        budget = make_retry_budget(burst=0, monotonic=_clock)
+        refusal = Refusal(Verdict.NOT_RUN, Reason.NODE_LEAVING)
+        retried = may_retry(
+            _ROUTE._replace(retries=0),
+            refusal,
+            attempt=1,
+            now=0.0,
+            deadline=1.0,
+            expected_s=0.1,
+            budget=budget,
+        )
+        self.assertThat(retried, Equals(True))
+
+    def test_only_idempotent_short_work_is_hedged(self) -> None:
+        """Guards against unsafe or long work run twice to save time."""
+        for idempotent, long_work in itertools.product((True, False), repeat=2):
+            hedged = may_hedge(
+                _ROUTE._replace(idempotent=idempotent),
+                long_work=long_work,
+                usual_s=0.02,
+                running_s=1.0,
+                now=0.0,
+                deadline=1.0,
+                budget=make_retry_budget(monotonic=_clock),
+            )
+            self.assertThat(hedged, Equals(idempotent and not long_work))
+
+
+class ServiceTimesTest(testtools.TestCase):
+    @given(st.floats(-6, 2), st.floats(0.2, 1.5), st.sampled_from([0.5, 0.75, 0.9]))
+    def test_quantiles_of_heavy_tails(
+        self, middle: float, sigma: float, share: float
+    ) -> None:
+        """Guards against an estimate that a few very slow answers move."""
+        random = Random(1)
+        values = [random.lognormvariate(middle, sigma) for _ in range(4000)]
+        learned = Quantile(share, step=0.02)
+        for value in values:
+            learned.add(value)
+        exact = sorted(values)[int(share * len(values))]
+        self.assertThat(abs(learned.value / exact - 1), LessThan(0.5))
+
+    def test_a_rare_slow_answer_does_not_make_a_route_long(self) -> None:
+        """Guards against a mean, which one answer in fifty would raise tenfold."""
+        times = make_service_times(monotonic=_clock)
+        for i in range(500):
+            observe(times, "short", 10.0 if i % 50 == 0 else 0.02)
+            if i % 20 == 0:
+                observe(times, "long", 2.0)
+        self.assertThat(is_long(times, "short"), Equals(False))
+        self.assertThat(is_long(times, "long"), Equals(True))
+        self.assertThat(is_long(times, "unknown"), Equals(False))
+
+    def test_pools_are_compared_with_themselves(self) -> None:
+        """Guards against a slow pool whose usual work all counts as long."""
+        times = make_service_times(monotonic=_clock)
+        for _ in range(100):
+            observe(times, "quick", 0.005, pool="a")
+            observe(times, "steady", 0.5, pool="b")
+        self.assertThat(is_long(times, "steady"), Equals(False))
+
+    def test_keys_are_bounded(self) -> None:
+        """Guards against memory that grows with made-up keys."""
+        times = make_service_times(monotonic=_clock)
+        for i in range(MAX_KEYS + 100):
+            observe(times, str(i), 0.1)
+        self.assertThat(len(times.times_by_key), Equals(MAX_KEYS))
+
+
+class AccountRatesTest(testtools.TestCase):
+    @given(
+        st.lists(st.tuples(st.floats(0, 0.5), st.sampled_from("ab")), max_size=200),
+        st.floats(0.2, 50),
+    )
+    def test_an_account_stays_within_its_rate(
+        self, steps: list[tuple[float, str]], rate: float
+    ) -> None:
+        """Guards against an account that sends more than the routes table allows."""
+        now = 0.0
+        rates = make_account_rates(monotonic=lambda: now)
+        passed: Counter[str] = Counter()
+        for gap, account in steps:
+            now += gap
+            passed[account] += check_rate(rates, "r", account, rate) is None
+            # A burst of two seconds, at least one request, and the rate since.
+            most = max(2 * rate, 1) + rate * now
+            self.assertThat(passed[account], LessThan(most + 1 + 1e-6))
+
+    def test_memory_is_bounded(self) -> None:
+        """Guards against memory that grows with made-up accounts."""
+        rates = make_account_rates(monotonic=_clock)
+        for i in range(MAX_ACCOUNTS + 500):
+            check_rate(rates, "r", str(i), 1.0)
+        self.assertThat(len(rates.due_by_key), Equals(MAX_ACCOUNTS))
+
+    def test_idle_accounts_are_forgotten(self) -> None:
+        """Guards against memory kept for accounts that stopped sending."""
+        now = 0.0
+        rates = make_account_rates(monotonic=lambda: now)
+        for i in range(100):
+            check_rate(rates, "r", str(i), 10.0)
+        now = 60.0
+        check_rate(rates, "r", "last", 10.0)
+        self.assertThat(len(rates.due_by_key), Equals(1))
