--- a/siskinlug/entry.py
+++ b/siskinlug/entry.py
@@ -8,8 +8,6 @@
     Awaitable,
     Callable,
     Iterable,
-    Mapping,
-    Sequence,
 )
 from contextlib import asynccontextmanager
 from functools import partial
@@ -106,9 +104,6 @@
     refusal: Refusal | None
 
 
-Choose = Callable[[Sequence[Candidate]], Candidate | None]
-
-
 class EntryPeers(NamedTuple):
     """What an entry asks owners, each over a new connection.
 
@@ -133,7 +128,7 @@
         owner: Owner,
         connections: ConnectionPool,
         tables: Callable[[], Tables],
-        choose: Choose,
+        choose: Choice,
         paths: Paths,
         links: Links,
         peers: EntryPeers,
@@ -546,7 +541,7 @@
     open_now = [
         c for c in left if entry.avoid_until_by_target.get(c.target, 0.0) <= now
     ]
-    return entry.choose(open_now or left)
+    return entry.choose(open_now or left, long_work=request.long_work)
 
 
 def _avoid(entry: Entry, target: str, refusal: Refusal) -> None:
@@ -711,7 +706,7 @@
 ) -> None:
     """Pass an answer on and learn its service time."""
     headers = answer.headers
-    _learn(entry, request.route.name, headers.get("Siskinlug-Service-Ms", ""))
+    _learn(entry, request.route, headers.get("Siskinlug-Service-Ms", ""))
     drop_prefix(headers, "Siskinlug-")
     drop_hop_by_hop(headers)
     if copy.limit_bytes:
@@ -726,16 +721,13 @@
     )
 
 
-def _learn(entry: Entry, route: str, service_ms: str) -> None:
+def _learn(entry: Entry, route: Route, service_ms: str) -> None:
     try:
         service_s = float(service_ms) / 1000
     except ValueError:
         return
-    observe_service_time(entry.service_times, route, service_s)
-    recent = entry.recent_by_route.setdefault(route, deque(maxlen=RECENT_SERVICE_TIMES))
+    observe_service_time(entry.service_times, route.name, service_s, pool=route.pool)
+    recent = entry.recent_by_route.setdefault(
+        route.name, deque(maxlen=RECENT_SERVICE_TIMES)
+    )
     recent.append(service_s)
-
-
-def routes_in_use(entry: Entry) -> Mapping[str, int]:
-    """Return how many service times are known by route, for the admin port."""
-    return {name: len(recent) for name, recent in entry.recent_by_route.items()}
