--- /dev/null
+++ b/bench/detection.py
@@ -0,0 +1,399 @@
+"""Detection of failing targets, in virtual time beside plain baselines.
+
+Owners run the daemon's evidence, ejection and promises; the baselines replace the
+ejection by none, by a fixed count of consecutive failures, or by the same evidence
+without promises.
+"""
+
+import asyncio
+from collections import defaultdict, deque
+from collections.abc import AsyncIterator, Callable, Sequence
+from contextlib import asynccontextmanager
+from functools import partial
+from random import Random
+from statistics import median
+from typing import Any, NamedTuple
+
+from returns.result import Failure
+
+from bench.replay import SISKINLUG, Hooks, Observation, Policy, Replay, replay
+from bench.trace import Arrival, Fault, Fleet, Trace
+from siskinlug.admission import Ticket, open_slot
+from siskinlug.ejection import (
+    Ejection,
+    PeerTarget,
+    PoolView,
+    TargetStatus,
+    admits,
+    answer_promises,
+    ejected_scopes,
+    make_ejection,
+    run_ejection,
+)
+from siskinlug.evidence import ALL_ROUTES, Evidence, Outcome, make_evidence, observe
+from siskinlug.probes import PROBE_TIMEOUT_S, watch_silence
+from siskinlug.promises import PromiseAnswer, PromiseRequest
+from siskinlug.timeline import Kind
+from siskinlug.verdict import Reason, not_run
+
+POOL = "pool"
+ROUTE_SHARES = {"browse": 0.5, "book": 0.3, "orders": 0.2}
+ACCOUNTS = 20
+SICK = "t00"
+FAULT_AT_S = 20.0
+PROBE_S = 0.025
+RECENT_SERVICE_TIMES = 64
+MIN_BASELINE_SAMPLES = 8
+FIXED_FAILURES = 5
+FIXED_EJECTION_S = 10.0
+# Errors of a healthy target, from the trial traces of the load tool.
+REST_ERROR_RATIO = 0.001
+
+
+class Ejected(NamedTuple):
+    """One ejection: when, which target, for which route or all."""
+
+    at: float
+    target: str
+    scope: str
+
+
+class Ejector:
+    """What one run's owners do; the policies differ in ``kind``."""
+
+    def __init__(self, kind: str, seed: int) -> None:
+        self.kind = kind
+        self.random = Random(seed)
+        self.ejected: list[Ejected] = []
+        self.messages = 0
+        self.replay: Replay
+        self.evidence_by_target: dict[str, Evidence] = {}
+        self.ejection_by_target: dict[str, Ejection] = {}
+        self.target_by_admission: dict[int, str] = {}
+        self.observed: set[int] = set()
+        self.failures: dict[str, int] = defaultdict(int)
+        self.out_until: dict[str, float] = {}
+        self.recent: dict[tuple[int, str], deque[float]] = defaultdict(
+            lambda: deque(maxlen=RECENT_SERVICE_TIMES)
+        )
+
+    def hooks(self) -> Hooks:
+        """Return the hooks for a replay."""
+        return Hooks(self.on_answer, self.is_ejected, self.background)
+
+    def policy(self) -> Policy:
+        """Return the daemon's rules with the owner's check before admission."""
+
+        def make(*, target: str, **options: Any) -> Any:
+            admission = SISKINLUG.make_admission(target=target, **options)
+            self.target_by_admission[id(admission)] = target
+            return admission
+
+        return SISKINLUG._replace(make_admission=make, open_slot=self.open_slot)
+
+    @asynccontextmanager
+    async def open_slot(self, admission: Any, ticket: Ticket) -> AsyncIterator[Any]:
+        """Refuse what the owner ejects, and watch for silence."""
+        target = self.target_by_admission[id(admission)]
+        ejection = self.ejection_by_target.get(target)
+        if ejection is None:
+            async with open_slot(admission, ticket) as result:
+                yield result
+            return
+        if not admits(ejection, ticket.route):
+            yield Failure(not_run(Reason.TARGET_EJECTED))
+            return
+        async with open_slot(admission, ticket) as result:
+            evidence = self.evidence_by_target[target]
+            probe = partial(self.probe, target)
+            with watch_silence(evidence, ticket.route, probe=probe) as silence:
+                yield result
+                silence.waiting = False
+
+    def is_ejected(self, target: str, route: str) -> bool:
+        """Whether entries leave a target out."""
+        if self.kind == "fixed threshold":
+            return self.replay.loop.time() < self.out_until.get(target, 0.0)
+        ejection = self.ejection_by_target.get(target)
+        if ejection is None or not ejection.out_by_scope:
+            return False
+        scopes = ejected_scopes(ejection)
+        return ALL_ROUTES in scopes or route in scopes
+
+    def on_answer(self, seen: Observation) -> None:
+        """Take one outcome as its owner observes it."""
+        answer = seen.answer
+        if answer.shed:
+            return
+        ok = answer.status == 200
+        if self.kind == "fixed threshold":
+            self._count(seen, ok)
+            return
+        evidence = self.evidence_by_target.get(seen.target)
+        if evidence is None:
+            return
+        recent = self.recent[seen.entry, seen.arrival.route]
+        baseline_s = median(recent) if len(recent) >= MIN_BASELINE_SAMPLES else None
+        hard = answer.hard
+        if answer.status is None and not hard:
+            # Ended by its deadline; whether that is silence, the watch has decided.
+            return
+        observe(
+            evidence,
+            Outcome(seen.arrival.route, ok, hard, answer.service_s, baseline_s),
+        )
+        if ok:
+            recent.append(answer.service_s)
+
+    def _count(self, seen: Observation, ok: bool) -> None:
+        if ok:
+            self.failures[seen.target] = 0
+            return
+        self.failures[seen.target] += 1
+        out = seen.at < self.out_until.get(seen.target, 0.0)
+        if self.failures[seen.target] >= FIXED_FAILURES and not out:
+            self.failures[seen.target] = 0
+            self.out_until[seen.target] = seen.at + FIXED_EJECTION_S
+            self.ejected.append(Ejected(seen.at, seen.target, ALL_ROUTES))
+
+    async def probe(self, target: str) -> bool:
+        """Probe a target: error answers and slowness of real requests don't show."""
+        fake = self.replay.targets[target]
+        effects = fake._effects(Arrival(0.0, 0.0, "probe"), self.replay.loop.time())
+        failed = "refuse" in effects or "silent" in effects
+        await asyncio.sleep(PROBE_TIMEOUT_S if "silent" in effects else PROBE_S)
+        return not failed
+
+    async def background(self, run: Replay) -> None:
+        """Run the owners of all targets."""
+        self.replay = run
+        if self.kind in ("fixed threshold", "no ejection"):
+            return
+        now, slots = run.loop.time, run.trace.fleet.slots
+        for target in run.targets:
+            self.evidence_by_target[target] = make_evidence(monotonic=now)
+            self.ejection_by_target[target] = make_ejection(
+                target=target,
+                node=target,
+                evidence=self.evidence_by_target[target],
+                status=lambda: TargetStatus(True, {POOL: slots}),
+                monotonic=now,
+                random=self.random,
+            )
+        async with asyncio.TaskGroup() as tasks:
+            for target in run.targets:
+                tasks.create_task(self._run_owner(run, target))
+
+    async def _run_owner(self, run: Replay, target: str) -> None:
+        slots = run.trace.fleet.slots
+        peers = [PeerTarget(t, t, slots) for t in run.targets if t != target]
+        floor = run.trace.fleet.targets * slots // 2
+        view = PoolView(POOL, floor, frozenset(ROUTE_SHARES), peers)
+
+        def note(kind: Kind, detail: str) -> None:
+            if kind is Kind.TARGET_EJECTED:
+                scope = detail.split(":")[0]
+                self.ejected.append(Ejected(run.loop.time(), target, scope))
+
+        await run_ejection(
+            self.ejection_by_target[target],
+            pools=lambda: [view],
+            call_peer=self._call_peer,
+            probe=partial(self.probe, target),
+            note=note,
+            on_change=lambda: None,
+        )
+
+    async def _call_peer(self, node: str, request: PromiseRequest) -> PromiseAnswer:
+        self.messages += 1
+        await asyncio.sleep(2 * self.replay.trace.fleet.hop_s)
+        if self.kind == "without promises":
+            slots = self.replay.trace.fleet.slots
+            given = dict.fromkeys(request["targets"], slots)
+            return PromiseAnswer(slots_by_target=given, refusal_by_target={})
+        return answer_promises(self.ejection_by_target, request)
+
+
+class Case(NamedTuple):
+    """A fault to detect; ``scope`` is what should be ejected."""
+
+    name: str
+    faults: Sequence[Fault]
+    goal_s: float
+    scope: str = ALL_ROUTES
+
+
+def _fault(effect: str, **options: Any) -> Fault:
+    return Fault(SICK, FAULT_AT_S, FAULT_AT_S + 60.0, effect, **options)
+
+
+CASES = (
+    Case("hard, refused", [_fault("refuse")], 1.0),
+    Case("hard, silent", [_fault("silent")], 1.0),
+    Case("20 % errors", [_fault("error", ratio=0.2)], 3.0),
+    Case("5x latency", [_fault("slow", factor=5.0)], 3.0),
+    Case("one route only", [_fault("error", route="book")], 3.0, "book"),
+    Case("some callers only", [_fault("error", account_prefix="account-0")], 3.0),
+    Case(
+        "flapping",
+        [
+            Fault(SICK, FAULT_AT_S + 6.0 * i, FAULT_AT_S + 6.0 * i + 3.0, "refuse")
+            for i in range(6)
+        ],
+        1.0,
+    ),
+)
+
+
+class Seen(NamedTuple):
+    """What one run showed: seconds to the ejection, and wrong ejections."""
+
+    detected_s: float | None
+    wrong: int
+    failed: float
+    ejections: int
+
+
+def steady_trace(
+    fleet: Fleet, faults: Sequence[Fault], *, until_s: float, rate: float, seed: int
+) -> Trace:
+    """Build steady demand of ``rate`` requests/s for each target."""
+    random = Random(seed)
+    arrivals = []
+    at = 0.0
+    while (at := at + random.expovariate(rate * fleet.targets)) < until_s:
+        route = random.choices(list(ROUTE_SHARES), list(ROUTE_SHARES.values()))[0]
+        account = f"account-{random.randrange(ACCOUNTS) // 5}"
+        service_s = 0.015 * random.lognormvariate(0.0, 0.8)
+        arrivals.append(Arrival(at, service_s, route, account))
+    rest = [
+        Fault(f"t{i:02}", 0.0, until_s, "error", ratio=REST_ERROR_RATIO)
+        for i in range(fleet.targets)
+    ]
+    return Trace("detection", fleet, arrivals, [*rest, *faults])
+
+
+def run_case(fleet: Fleet, case: Case, kind: str, seed: int) -> Seen:
+    """Play one case once."""
+    until_s = FAULT_AT_S + (36.0 if case.name == "flapping" else 15.0)
+    trace = steady_trace(fleet, case.faults, until_s=until_s, rate=10.0, seed=seed)
+    ejector = Ejector(kind, seed)
+    run = replay(trace, policy=ejector.policy(), hooks=ejector.hooks(), seed=seed)
+    right = [
+        e
+        for e in ejector.ejected
+        if e.target == SICK
+        and e.at >= FAULT_AT_S
+        and case.scope in (ALL_ROUTES, e.scope)
+    ]
+    wrong = [
+        e
+        for e in ejector.ejected
+        if e.target != SICK
+        or e.at < FAULT_AT_S
+        or (case.scope != ALL_ROUTES and e.scope != case.scope)
+    ]
+    detected_s = right[0].at - FAULT_AT_S if right else None
+    during = [d for d in run.done if d.arrival.at >= FAULT_AT_S]
+    failed = sum(not d.useful for d in during) / len(during)
+    return Seen(detected_s, len(wrong), failed, len(right))
+
+
+def healthy_ejections(trace: Trace, kind: str, seed: int) -> int:
+    """Play a trace without a sick target and count ejections."""
+    ejector = Ejector(kind, seed)
+    replay(trace, policy=ejector.policy(), hooks=ejector.hooks(), seed=seed)
+    return len(ejector.ejected)
+
+
+KINDS = ("siskinlug", "no ejection", "fixed threshold", "without promises")
+POLICIES: Sequence[Policy] = [Policy(name=kind) for kind in KINDS]
+CASE_SEEDS = 7
+REST_SEEDS = 2
+REST_S = 300.0
+PEAK_SEEDS = 3
+PEAK_POINTS = ((0.0, 0.5), (2.0, 0.5), (2.5, 2.0), (5.0, 2.0), (5.5, 0.5), (6.5, 0.5))
+NEVER_S = 99.0
+
+MakePeak = Callable[[Fleet, int], Sequence[float]]
+
+
+def peak_trace(
+    fleet: Fleet, times: Sequence[float], *, slowing: bool, seed: int
+) -> Trace:
+    """Build a demand peak of twice capacity on healthy targets.
+
+    Args:
+        fleet: Sizes.
+        times: Arrival times by ``PEAK_POINTS``.
+        slowing: Whether the targets slow down under load, each from another moment
+            of the rise and by a factor of its own, and fail 5 % of requests.
+        seed: Seed of service times and factors.
+    """
+    random = Random(seed)
+    routes, shares = list(ROUTE_SHARES), list(ROUTE_SHARES.values())
+    arrivals = [
+        Arrival(
+            at,
+            0.015 * random.lognormvariate(0.0, 0.8),
+            random.choices(routes, shares)[0],
+            f"account-{random.randrange(ACCOUNTS):02}",
+        )
+        for at in times
+    ]
+    faults = []
+    for number in range(fleet.targets if slowing else 0):
+        target, start = f"t{number:02}", random.uniform(2.0, 2.5)
+        factor = random.uniform(4.0, 7.0)
+        faults += [
+            Fault(target, start, 5.5, "slow", factor=factor),
+            Fault(target, start, 5.5, "error", ratio=0.05),
+        ]
+    return Trace("peak", fleet, arrivals, faults)
+
+
+def measure(
+    fleet: Fleet, kind: str, seed: int, peak_times: MakePeak
+) -> list[tuple[str, float, float | None]]:
+    """Measure one policy; each figure is its name, value and largest allowed value."""
+    figures: list[tuple[str, float, float | None]] = []
+    failed = []
+    for case in CASES:
+        runs = [run_case(fleet, case, kind, seed + i) for i in range(CASE_SEEDS)]
+        times = [NEVER_S if r.detected_s is None else r.detected_s for r in runs]
+        failed += [r.failed for r in runs]
+        figures += [
+            (f"{case.name}: median s (99: never)", median(times), case.goal_s),
+            (f"{case.name}: worst s", max(times), None),
+            (f"{case.name}: wrong ejections", sum(r.wrong for r in runs), 0.0),
+        ]
+        if case.name == "flapping":
+            ejections = median(r.ejections for r in runs)
+            figures.append((f"{case.name}: ejections in 36 s", ejections, None))
+    figures.append(("failed requests, mean of cases", sum(failed) / len(failed), None))
+    rest = [
+        healthy_ejections(
+            steady_trace(fleet, (), until_s=REST_S, rate=10.0, seed=seed + i),
+            kind,
+            seed + i,
+        )
+        for i in range(REST_SEEDS)
+    ]
+    hours = REST_SEEDS * REST_S / 3600
+    figures.append(("rest: healthy ejections/h", sum(rest) / hours, 0.0))
+    for slowing, name in ((False, "peak at 2x"), (True, "peak at 2x, targets slow")):
+        ejected = [
+            healthy_ejections(
+                peak_trace(
+                    fleet,
+                    peak_times(fleet, seed + i),
+                    slowing=slowing,
+                    seed=seed + i,
+                ),
+                kind,
+                seed + i,
+            )
+            for i in range(PEAK_SEEDS)
+        ]
+        figures.append((f"{name}: healthy ejections", sum(ejected), 0.0))
+    return figures
--- a/bench/measures.py
+++ b/bench/measures.py
@@ -14,6 +14,7 @@
 from random import Random
 from typing import NamedTuple
 
+from bench import detection
 from bench.baselines import BASELINES
 from bench.replay import SISKINLUG, Policy, Replay, quantile, replay
 from bench.trace import Arrival, Fleet, Trace
@@ -93,12 +94,12 @@
 LARGEST_SHARE = 0.4  # one account sends this share of all requests
 
 
-def demand(at: float) -> float:
+def demand(at: float, points: Sequence[tuple[float, float]] = PEAK_POINTS) -> float:
     """Return the demand at a time in multiples of capacity."""
-    for (start, low), (end, high) in pairwise(PEAK_POINTS):
+    for (start, low), (end, high) in pairwise(points):
         if start <= at < end:
             return low + (high - low) * (at - start) / (end - start)
-    return PEAK_POINTS[-1][1]
+    return points[-1][1]
 
 
 def peak_trace(fleet: Fleet, seed: int) -> Trace:
@@ -275,6 +276,34 @@
     return figures
 
 
+def detect(deployment: str, policy: Policy, seed: int) -> list[Figure]:
+    """Measure the detection of failing targets for one policy."""
+
+    def peak_times(fleet: Fleet, seed: int) -> list[float]:
+        full = capacity(fleet)
+        points = detection.PEAK_POINTS
+        return poisson(
+            Random(seed),
+            lambda at: demand(at, points) * full,
+            points[-1][0],
+            2 * full,
+        )
+
+    return [
+        _figure(
+            "detection",
+            deployment,
+            policy,
+            name,
+            value,
+            None if most is None else at_most(most),
+        )
+        for name, value, most in detection.measure(
+            FLEETS[deployment], policy.name, seed, peak_times
+        )
+    ]
+
+
 def _short_p99(run: Replay, mix: Mix) -> float:
     return quantile(
         (
@@ -308,11 +337,16 @@
 
 
 Measure = Callable[[str, Policy, int], list[Figure]]
-MEASURES: dict[str, Measure] = {"crest": crest, "head_of_line": head_of_line}
+MEASURES: dict[str, Measure] = {
+    "crest": crest,
+    "head_of_line": head_of_line,
+    "detection": detect,
+}
 POLICIES_BY_MEASURE: dict[str, Sequence[Policy]] = {
     # No long work takes part in the peak.
     "crest": [p for p in POLICIES if p.reserve],
     "head_of_line": POLICIES,
+    "detection": detection.POLICIES,
 }
 
 
--- a/bench/promise_network.py
+++ b/bench/promise_network.py
@@ -20,6 +20,7 @@
     run_ejection,
 )
 from siskinlug.evidence import Outcome, make_evidence, observe
+from siskinlug.messages import encode
 from siskinlug.promises import PromiseAnswer, PromiseRequest
 
 CALL_TIMEOUT_S = 0.5
@@ -41,6 +42,7 @@
         self.cut: set[tuple[str, str]] = set()
         self.paused_until: dict[str, float] = {}
         self.messages = 0
+        self.body_bytes = 0
         self._late: set[asyncio.Future] = set()
 
     def now(self) -> float:
@@ -75,6 +77,7 @@
         await self._travel(sender, receiver, extra_s)
         await self._while_paused(receiver)
         answer = self.handler_by_node[receiver](request)
+        self.body_bytes += len(encode(request)) + len(encode(answer))
         await asyncio.sleep(self.answer_delay_by_node.get(sender, 0.0))
         await self._travel(receiver, sender, 0.0)
         return answer
--- a/siskinlug/ejection.py
+++ b/siskinlug/ejection.py
@@ -176,6 +176,7 @@
     status: Callable[[], TargetStatus],
     monotonic: Callable[[], float],
     random: random_module.Random,
+    earlier: Ejection | None = None,
 ) -> Ejection:
     """Build the state of a target that this node has just come to own.
 
@@ -186,8 +187,12 @@
         status: Called whenever the target's own state matters.
         monotonic: Monotonic clock in seconds.
         random: Random source for back-off and the order of peers.
+        earlier: This node's state of an earlier incarnation of the target, without a
+            time between in which another node owned it. Its promises stay in force,
+            so the new incarnation need not wait a lease to be ejected, and a target
+            that crashes again and again counts as flapping.
     """
-    return Ejection(
+    ejection = Ejection(
         target=target,
         node=node,
         evidence=evidence,
@@ -195,6 +200,13 @@
         monotonic=monotonic,
         random=random,
     )
+    if earlier is not None:
+        ejection.adopted = earlier.adopted
+        ejection.promises = earlier.promises
+        ejection.number = earlier.number
+        ejection.flaps_by_scope = earlier.flaps_by_scope
+        ejection.ended_by_scope = earlier.ended_by_scope
+    return ejection
 
 
 def admits(ejection: Ejection, route: str) -> bool:
--- a/siskinlug/evidence.py
+++ b/siskinlug/evidence.py
@@ -37,6 +37,10 @@
 # reach this part of the threshold, which one stray error does not.
 _OTHER_ROUTES_SCORE = 0.4
 _ROUTES_MAX = 64
+# A request without a first byte for this many usual times makes the owner probe. Of
+# lognormal times with p99 at 6.4 medians 0.2 % pass it.
+_SILENCE_FACTOR = 10.0
+_SILENCE_MIN_S = 0.2
 
 
 class Outcome(NamedTuple):
@@ -218,6 +222,21 @@
     return 0 if scope is None else scope.count
 
 
+def silence_bound_s(evidence: Evidence, route: str) -> float | None:
+    """Return after how long without a first byte a target may be silent.
+
+    A request that ends without a first byte before this time, such as one whose
+    deadline was near when it left the queue, says nothing of the target.
+
+    Returns:
+        The time in seconds, or ``None`` while the usual time is unknown.
+    """
+    usual = evidence.usual_log_s_by_route.get(route)
+    if usual is None:
+        return None
+    return max(_SILENCE_FACTOR * math.exp(min(usual, 20.0)), _SILENCE_MIN_S)
+
+
 def forget(evidence: Evidence, route: str) -> None:
     """Drop the evidence of a route, or all with ``*``; usual times are kept.
 
--- a/siskinlug/probes.py
+++ b/siskinlug/probes.py
@@ -4,13 +4,16 @@
 requests show.
 """
 
-from collections.abc import Callable
+import asyncio
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
 
 from returns.result import Failure, Result, Success
 from tornado.httputil import HTTPHeaders
 
 from siskinlug.body import BodyCut, bytes_body
 from siskinlug.connections import Address, ConnectionPool, open_connection
+from siskinlug.evidence import Evidence, Outcome, observe, silence_bound_s
 from siskinlug.exchange import RequestHead, exchange
 
 # A probe takes about 25 ms; a target that needs ten times as long is not well.
@@ -62,3 +65,56 @@
             except BodyCut:
                 return Failure("cut")
     return Success(monotonic() - started)
+
+
+class Silence:
+    """A request that waits for its first byte."""
+
+    def __init__(self) -> None:
+        self.waiting = True
+        self.observed = False
+        self.bound_s: float | None = None
+        self.task: asyncio.Future[None] | None = None
+
+
+@contextmanager
+def watch_silence(
+    evidence: Evidence, route: str, *, probe: Callable[[], Awaitable[bool]]
+) -> Iterator[Silence]:
+    """Watch a request that waits for its first byte at a target.
+
+    Past the usual time the target is probed once. If the probe fails, the request is
+    observed as a hard failure at once instead of at its deadline; it goes on waiting.
+
+    Args:
+        evidence: The target's evidence.
+        route: Route name of the request.
+        probe: Probes the target over a new connection.
+
+    Yields:
+        The state; if ``observed`` is set, the request's end must not be observed
+        again. Set ``waiting`` to false when the first byte arrives.
+    """
+    silence = Silence()
+    silence.bound_s = silence_bound_s(evidence, route)
+
+    async def check() -> None:
+        if not await probe() and silence.waiting:
+            silence.observed = True
+            observe(evidence, Outcome(route, False, True, 0.0, None))
+
+    def start() -> None:
+        if silence.waiting:
+            silence.task = asyncio.ensure_future(check())
+
+    timer = None
+    if silence.bound_s is not None:
+        timer = asyncio.get_running_loop().call_later(silence.bound_s, start)
+    try:
+        yield silence
+    finally:
+        silence.waiting = False
+        if timer is not None:
+            timer.cancel()
+        if silence.task is not None:
+            silence.task.cancel()
