--- a/siskinlug/node.py
+++ b/siskinlug/node.py
@@ -26,8 +26,16 @@
     OwnedTargets,
     accept_announcement,
 )
-from siskinlug.attempts import cancel, confirm, make_attempts
+from siskinlug.attempts import cancel, confirm, make_attempts, state_of
 from siskinlug.choice import make_choice
+from siskinlug.claims import (
+    ClaimsAnswer,
+    ClaimsRequest,
+    close_claims,
+    home_node,
+    make_claims,
+    serve_claims,
+)
 from siskinlug.clock import HybridClock, wall_clock_ms
 from siskinlug.config_sync import (
     answer_configuration,
@@ -39,8 +47,9 @@
 from siskinlug.connections import make_pool
 from siskinlug.directory import NodeRecord
 from siskinlug.ejection import answer_promises
-from siskinlug.entry import Entry, serve_caller
+from siskinlug.entry import Entry, EntryPeers, serve_caller
 from siskinlug.inbound import InboundLimits, InboundServer, drain_server, open_server
+from siskinlug.links import link_up
 from siskinlug.log_client import open_log
 from siskinlug.logs import log_event
 from siskinlug.membership import (
@@ -56,6 +65,8 @@
 from siskinlug.messages import (
     Announcement,
     AnnouncementAnswer,
+    AttemptQuery,
+    AttemptState,
     CancelAnswer,
     CancelRequest,
     Position,
@@ -63,11 +74,17 @@
     encode,
 )
 from siskinlug.metrics import make_metrics
-from siskinlug.owner import Owner
+from siskinlug.owner import Owner, note_incarnation
+from siskinlug.paths import make_paths
 from siskinlug.peer_client import call_peer, make_peer_client
 from siskinlug.peer_server import MAX_MESSAGE_BYTES, Handler, make_peer_server
 from siskinlug.promises import PromiseAnswer, PromiseRequest
-from siskinlug.quarantine import make_quarantine
+from siskinlug.quarantine import (
+    Suspicion,
+    known_suspicions,
+    make_quarantine,
+    merge,
+)
 from siskinlug.service_times import make_service_times
 from siskinlug.settings import Settings
 from siskinlug.supervisor import supervise
@@ -85,6 +102,7 @@
 LEAVE_QUIET_S = 0.5
 CANCEL_TIMEOUT_S = 1.0
 PROMISES_PATH = "/peer/promises"
+CLAIMS_PATH = "/peer/claims"
 CONFIGURATION_PATH = "/peer/configuration"
 
 MessageT = TypeVar("MessageT")
@@ -114,6 +132,7 @@
             quarantine=self.quarantine,
             connections=self.connections,
             is_ejected=lambda target, route: is_ejected(self.watch, target, route),
+            on_suspicions=lambda: push_payload(self.membership, "suspicions"),
             monotonic=self.monotonic,
         )
         self.configuration = make_configuration(
@@ -138,23 +157,41 @@
                     read=lambda peer, position: note_position(
                         self.configuration, peer, position
                     ),
-                )
+                ),
+                Payload(
+                    name="suspicions",
+                    value_type=list[Suspicion],
+                    write=lambda _urgent: known_suspicions(self.quarantine) or None,
+                    read=lambda _peer, received: bool(merge(self.quarantine, received)),
+                ),
             ],
         )
         self.watch = _make_watch(self)
+        self.claims = make_claims(
+            node=settings.name,
+            incarnation=self.incarnation,
+            append=self.log.append,
+            read=self.log.read,
+            home_of=self._home_of,
+            call_home=self._call_home,
+            monotonic=self.monotonic,
+            wall_ms=wall_clock_ms,
+        )
         self.entry = Entry(
             directory=self.membership.directory,
             owner=self.owner,
             connections=self.connections,
             tables=self.tables,
             choose=make_choice(random=random),
-            penalty_ms=lambda node, route: 0.0,
-            cancel_attempt=self._cancel_attempt,
+            paths=make_paths(monotonic=self.monotonic),
+            links=self.membership.links,
+            peers=EntryPeers(self._cancel_attempt, self._attempt_state),
             token=settings.token,
             metrics=self.metrics,
             monotonic=self.monotonic,
             service_times=make_service_times(monotonic=self.monotonic),
             account_rates=make_account_rates(monotonic=self.monotonic),
+            claims=self.claims,
         )
         self.server_by_port: dict[str, InboundServer] = {}
 
@@ -194,6 +231,34 @@
             queue_wait_s=min((pool.queue_wait_s for pool in pools), default=0.0),
         )
 
+    def _home_of(self, partition: int) -> str:
+        # Two homes are ordered by the log, so a home that this node cannot reach is
+        # passed over before it is declared dead.
+        alive = [
+            record.node
+            for record in self.membership.others()
+            if record.state == "alive"
+            and link_up(self.membership.links, record.node) is not False
+        ]
+        if not self.owner.leaving:
+            alive.append(self.settings.name)
+        return home_node(partition, alive)
+
+    async def _call_home(
+        self, home: str, request: ClaimsRequest
+    ) -> ClaimsAnswer | None:
+        peer = self.membership.directory.record_by_node.get(home)
+        if peer is None:
+            return None
+        result = await call_peer(
+            self.peer_client,
+            (peer.host, peer.peer_port),
+            CLAIMS_PATH,
+            request,
+            ClaimsAnswer,
+        )
+        return result.value_or(None)
+
     async def _cancel_attempt(
         self, peer: NodeRecord, attempt: str, sent_at: float
     ) -> Verdict:
@@ -214,6 +279,19 @@
         verdict = Verdict(result.unwrap()["verdict"])
         return confirm(verdict, sent_at=sent_at, answered_at=self.monotonic())
 
+    async def _attempt_state(self, peer: NodeRecord, attempt: str) -> str | None:
+        """Ask an owner over a new connection whether an attempt has arrived."""
+        result = await call_peer(
+            self.peer_client,
+            (peer.host, peer.peer_port),
+            "/peer/attempts/state",
+            AttemptQuery(attempt=attempt),
+            AttemptState,
+            timeout_s=CANCEL_TIMEOUT_S,
+            fresh=True,
+        )
+        return result.unwrap()["state"] if isinstance(result, Success) else None
+
 
 def _address(text: str) -> tuple[str, int]:
     host, _, port = text.rpartition(":")
@@ -257,6 +335,7 @@
     if not known:
         detail = f"{message['service']}, {message['slots']} slots"
         record(node.timeline, Kind.TARGET_ANNOUNCED, message["target"], detail)
+    note_incarnation(node.owner, message["target"], message["incarnation"])
     publish_targets(node.watch)
     return accepted.unwrap()
 
@@ -312,6 +391,7 @@
         random=node.random,
         ejection_by_target={},
         task_by_target={},
+        on_expired=lambda target: note_incarnation(node.owner, target, None),
     )
 
 
@@ -338,7 +418,15 @@
     async def promise(message: PromiseRequest) -> PromiseAnswer:
         return answer_promises(node.watch.ejection_by_target, message)
 
+    async def attempt_state(message: AttemptQuery) -> AttemptState:
+        return AttemptState(state=state_of(node.attempts, message["attempt"]))
+
+    async def claims(message: ClaimsRequest) -> ClaimsAnswer:
+        return await serve_claims(node.claims, message)
+
     handler_by_path = {
+        CLAIMS_PATH: _message_handler(ClaimsRequest, claims),
+        "/peer/attempts/state": _message_handler(AttemptQuery, attempt_state),
         CONFIGURATION_PATH: configuration,
         PROMISES_PATH: _message_handler(PromiseRequest, promise),
         "/announce": _message_handler(Announcement, announce),
@@ -360,6 +448,7 @@
         {
             "/nodes": nodes_page(directory),
             "/targets": targets_page(directory),
+            "/configuration": lambda _query: position_of(node.configuration.state),
             "/tables": tables_page(node.tables),
             "/timeline": timeline_page(node.timeline),
             "/explain": explain_page(node.entry),
@@ -421,6 +510,7 @@
     }
     async with AsyncExitStack() as stack:
         stack.callback(node.connections.close)
+        stack.push_async_callback(close_claims, node.claims)
         stack.callback(_stop_listening, node)
         _open_servers(node)
         await stack.enter_async_context(supervise(jobs))
