--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -14,9 +14,8 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
-from siskinlug.publishing import publish
-
 from siskinlug.log_client import open_log
+from siskinlug.publishing import publish
 
 ROOT = Path(__file__).resolve().parent.parent
 TOKEN = "loopback-fleet-token"
--- a/tests/test_process_configuration.py
+++ b/tests/test_process_configuration.py
@@ -4,11 +4,11 @@
 
 import pytest
 import testtools
-from siskinlug.publishing import Outcome, publish
 from testtools.matchers import Equals
 
 from bench.fleet import LOG_PORT, Fleet, call, open_fleet, wait_until
 from siskinlug.log_client import open_log
+from siskinlug.publishing import Outcome, publish
 from tests.fleet_load import ROUTES, start_small_fleet
 
 pytestmark = pytest.mark.processes
