--- a/siskinlug/claims.py
+++ b/siskinlug/claims.py
@@ -283,6 +283,7 @@
         monotonic: Callable[[], float],
         wall_ms: Callable[[], int],
         key_ttl_s: float,
+        append_interval_s: float,
     ) -> None:
         self.node = node
         self.home = f"{node}@{incarnation}"
@@ -293,6 +294,7 @@
         self.monotonic = monotonic
         self.wall_ms = wall_ms
         self.key_ttl_s = key_ttl_s
+        self.append_interval_s = append_interval_s
         self.partition_by_number: dict[int, _Partition] = {}
         self.answers = _Answers()
         self.tasks: set[asyncio.Task[None]] = set()
@@ -344,6 +346,7 @@
     monotonic: Callable[[], float],
     wall_ms: Callable[[], int],
     key_ttl_s: float = KEY_TTL_S,
+    append_interval_s: float = APPEND_INTERVAL_S,
 ) -> Claims:
     """Build the claims of one node.
 
@@ -359,6 +362,7 @@
         wall_ms: Wall clock in milliseconds.
         key_ttl_s: Time for which a key runs at most once, in seconds; must be shorter
             than the log's retention by ``CLOCK_SKEW_S`` or more.
+        append_interval_s: Least time between two appends of a partition, in seconds.
     """
     return Claims(
         node=node,
@@ -370,6 +374,7 @@
         monotonic=monotonic,
         wall_ms=wall_ms,
         key_ttl_s=key_ttl_s,
+        append_interval_s=append_interval_s,
     )
 
 
@@ -683,7 +688,7 @@
     """
     async with partition.lock:
         now = claims.monotonic()
-        if partition.loaded and now - partition.read_at < APPEND_INTERVAL_S:
+        if partition.loaded and now - partition.read_at < claims.append_interval_s:
             return True
         if now < partition.down_until:
             return False
@@ -774,7 +779,7 @@
         with suppress(TimeoutError):
             async with asyncio.timeout(SETTLE_DELAY_S):
                 await partition.claim_arrived.wait()
-    due = max(partition.appended_at + APPEND_INTERVAL_S, partition.down_until)
+    due = max(partition.appended_at + claims.append_interval_s, partition.down_until)
     await asyncio.sleep(max(0.0, due - claims.monotonic()))
 
 
