--- a/siskinlug/entry.py
+++ b/siskinlug/entry.py
@@ -19,7 +19,7 @@
 
 from siskinlug.account_rates import AccountRates, check_rate
 from siskinlug.body import BodyCut
-from siskinlug.choice import Candidate
+from siskinlug.choice import Candidate, Choice
 from siskinlug.claims import (
     MAX_ANSWER_BYTES,
     Claims,
