--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -207,8 +207,10 @@
         )
         return process
 
-    def settings_text(self, node: NodeSpec, seeds: Sequence[int]) -> str:
-        """Return the settings file of a node."""
+    def settings_text(
+        self, node: NodeSpec, seeds: Sequence[int], extra_node: str = ""
+    ) -> str:
+        """Return the settings file of a node, with more keys for ``[node]``."""
         peers = " ".join(
             f"{self.host(seed)}:{PEER_PORT}" for seed in seeds if seed != node.number
         )
@@ -218,15 +220,28 @@
             f"host = {self.host(node.number)}\n"
             f"caller_port = {CALLER_PORT}\npeer_port = {PEER_PORT}\n"
             f"admin_host = {self.host(node.number)}\nadmin_port = {ADMIN_PORT}\n"
-            f"[fleet]\nlog_url = {self.log_url}\npeers = {peers}\ntoken = {TOKEN}\n"
+            f"{extra_node}[fleet]\nlog_url = {self.log_url}\n"
+            f"peers = {peers}\ntoken = {TOKEN}\n"
         )
 
     def start_node(
-        self, node: NodeSpec, *, seeds: Sequence[int] = (1, 2, 3), extra: str = ""
+        self,
+        node: NodeSpec,
+        *,
+        seeds: Sequence[int] = (1, 2, 3),
+        extra: str = "",
+        extra_node: str = "",
     ) -> Process:
-        """Start a daemon, without waiting for it."""
+        """Start a daemon, without waiting for it.
+
+        Args:
+            node: The node.
+            seeds: Numbers of the nodes to start from.
+            extra: More sections of the settings file.
+            extra_node: More keys of its section ``[node]``.
+        """
         path = self.folder / f"{node.name}.ini"
-        path.write_text(self.settings_text(node, seeds) + extra)
+        path.write_text(self.settings_text(node, seeds, extra_node) + extra)
         if node not in self.nodes:
             self.nodes.append(node)
         return self.start(node.name, ["-m", "siskinlug.daemon", "--config", str(path)])
--- a/siskinlug/entry.py
+++ b/siskinlug/entry.py
@@ -613,7 +613,7 @@
             inbound.body,
             first_byte_s=left_s,
             check_after_s=first_byte_bound_s(entry.paths, attempt.route, left_s),
-            check=partial(_is_with_owner, entry, node, attempt.attempt),
+            check=partial(_is_with_owner, entry, node, attempt),
         ) as result:
             if isinstance(result, Success):
                 took_s = entry.monotonic() - sent_at
@@ -625,13 +625,15 @@
     yield Failure(await _settle(entry, node, attempt.attempt, sent_at, cause))
 
 
-async def _is_with_owner(entry: Entry, node: NodeRecord, attempt: str) -> bool:
+async def _is_with_owner(
+    entry: Entry, node: NodeRecord, attempt: AttemptRequest
+) -> bool:
     """Ask over a new connection whether an attempt without an answer has arrived."""
-    state = await entry.peers.attempt_state(node, attempt)
+    state = await entry.peers.attempt_state(node, attempt.attempt)
     if state is None:
         note_path_failure(entry.paths, node.node)
-        # Without an answer nothing is known; the deadline bounds the wait.
-        return True
+        # Nothing is known of the attempt, so only idempotent work goes elsewhere.
+        return not attempt.idempotent
     if state == "running":
         return True
     if state == "ended":
--- a/siskinlug/node.py
+++ b/siskinlug/node.py
@@ -92,7 +92,13 @@
 from siskinlug.tables import Tables
 from siskinlug.timeline import Kind, Timeline, record
 from siskinlug.verdict import Reason, Verdict
-from siskinlug.watch import Watch, is_ejected, publish_targets, run_watch
+from siskinlug.watch import (
+    Watch,
+    is_ejected,
+    probe_target,
+    publish_targets,
+    run_watch,
+)
 
 PEER_IDLE_S = 60.0
 PEER_BODY_S = 3600.0
@@ -133,6 +139,7 @@
             quarantine=self.quarantine,
             connections=self.connections,
             is_ejected=lambda target, route: is_ejected(self.watch, target, route),
+            probe=lambda target: probe_target(self.watch, target),
             on_suspicions=lambda: push_payload(self.membership, "suspicions"),
             monotonic=self.monotonic,
         )
@@ -202,6 +209,9 @@
 
     def _own_record(self) -> NodeRecord:
         settings = self.settings
+        host, peer_port = settings.host, settings.peer_port
+        if settings.advertise:
+            host, peer_port = _address(settings.advertise)
         return NodeRecord(
             node=settings.name,
             incarnation=self.incarnation,
@@ -210,8 +220,8 @@
             vm=settings.vm,
             failure_domain=settings.failure_domain,
             region=settings.region,
-            host=settings.host,
-            peer_port=settings.peer_port,
+            host=host,
+            peer_port=peer_port,
             admin_port=settings.admin_port,
         )
 
--- a/siskinlug/owner.py
+++ b/siskinlug/owner.py
@@ -1,7 +1,7 @@
 """Owner role: the only process that sends requests to the targets beside it."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from functools import partial
 from typing import NamedTuple
@@ -30,6 +30,7 @@
     has_length,
 )
 from siskinlug.load import LoadReport
+from siskinlug.probes import Silence, watch_silence
 from siskinlug.quarantine import (
     CLEAR,
     REFUSED,
@@ -98,6 +99,7 @@
         connections: ConnectionPool,
         is_ejected: Callable[[str, str], bool],
         on_suspicions: Callable[[], object],
+        probe: Callable[[str], Awaitable[bool]],
         monotonic: Callable[[], float],
     ) -> None:
         self.targets = targets
@@ -108,10 +110,20 @@
         self.monotonic = monotonic
         self.leaving = False
         self.on_suspicions = on_suspicions
+        self.probe = probe
         self.resets = ResetWatch(monotonic=monotonic)
         self.runs_by_target: dict[str, TargetRuns] = {}
 
 
+class _Run(NamedTuple):
+    """An admitted attempt."""
+
+    owner: Owner
+    request: AttemptRequest
+    owned: Owned
+    slot: Slot
+
+
 def note_incarnation(owner: Owner, target: str, incarnation: int | None) -> None:
     """Find out whether connections that were reset mean that a target crashed.
 
@@ -181,7 +193,9 @@
                 return
             # From here on the request may run, also if this task is cancelled.
             ended = Verdict.MAY_HAVE_RUN
-            async with _run_beside(owner, request, owned, slot, head, body) as result:
+            async with _run_beside(
+                _Run(owner, request, owned, slot), head, body
+            ) as result:
                 if isinstance(result, Success):
                     ended = Verdict.RAN
                 else:
@@ -237,117 +251,100 @@
 
 @asynccontextmanager
 async def _run_beside(
-    owner: Owner,
-    request: AttemptRequest,
-    owned: Owned,
-    slot: Slot,
-    head: RequestHead,
-    body: BodyStream,
+    run: _Run, head: RequestHead, body: BodyStream
 ) -> AsyncIterator[Result[Answer, Refusal]]:
     """Run an attempt, alone on its target if it is suspected of a crash."""
+    owner, request = run.owner, run.request
     runs = owner.runs_by_target.setdefault(request.target, TargetRuns())
     async with run_beside(
         owner.quarantine, runs, request.attempt, request.fingerprint
     ) as may_run:
         if not may_run:
-            slot.finish(status=None, service_s=0.0, shed=False)
+            run.slot.finish(status=None, service_s=0.0, shed=False)
             yield Failure(not_run(Reason.QUEUE_FULL, "a suspect request runs alone"))
             return
-        async with _run(owner, request, owned, slot, head, body) as result:
+        async with _connect(run, head, body) as result:
             yield result
 
 
 @asynccontextmanager
-async def _run(
-    owner: Owner,
-    request: AttemptRequest,
-    owned: Owned,
-    slot: Slot,
-    head: RequestHead,
-    body: BodyStream,
+async def _connect(
+    run: _Run, head: RequestHead, body: BodyStream
 ) -> AsyncIterator[Result[Answer, Refusal]]:
-    """Exchange with the target and record what it showed."""
-    announcement = owned.announcement
-    address = (announcement["host"], announcement["port"])
-    idle_s = IDLE_MAX_S if request.idempotent else NON_IDEMPOTENT_IDLE_MAX_S
-    started_at = owner.monotonic()
-    left_s = request.deadline - started_at
+    """Open a connection to the target and start the attempt on it."""
+    owner, request = run.owner, run.request
+    announcement = run.owned.announcement
     async with open_connection(
-        owner.connections, address, max_idle_s=idle_s, timeout_s=min(1.0, left_s)
+        owner.connections,
+        (announcement["host"], announcement["port"]),
+        max_idle_s=IDLE_MAX_S if request.idempotent else NON_IDEMPOTENT_IDLE_MAX_S,
+        timeout_s=min(1.0, request.deadline - owner.monotonic()),
     ) as connected:
         if isinstance(connected, Failure):
-            slot.finish(status=None, service_s=0.0, shed=False)
-            _observe(owner, request, owned, ok=False, hard=True, service_s=0.0)
+            run.slot.finish(status=None, service_s=0.0, shed=False)
+            _observe(run, ok=False, hard=True)
             note_incarnation(owner, request.target, None)
             detail = f"{request.target}: {connected.failure().cause}"
             yield Failure(not_run(Reason.TARGET_UNREACHABLE, detail))
             return
         connection = connected.unwrap()
-        # Nothing is awaited between this check and the first byte.
-        if refusal := _refusal_after_queue(owner, request, owned):
+        # Nothing is awaited between these checks and the first byte.
+        refusal = _refusal_after_queue(owner, request, run.owned)
+        if refusal is None and not mark_started(owner.attempts, request.attempt):
+            refusal = not_run(Reason.CANCELLED, "cancelled by its entry")
+        if refusal is not None:
             connection.reusable = True
             yield Failure(refusal)
             return
-        if not mark_started(owner.attempts, request.attempt):
-            connection.reusable = True
-            yield Failure(not_run(Reason.CANCELLED, "cancelled by its entry"))
-            return
-        async with _exchange(owner, request, connection, head, body) as result:
+        async with _run_on(run, connection, head, body) as result:
+            yield result
+
+
+@asynccontextmanager
+async def _run_on(
+    run: _Run, connection: Connection, head: RequestHead, body: BodyStream
+) -> AsyncIterator[Result[Answer, Refusal]]:
+    """Exchange with the target and record what it showed."""
+    started_at = run.owner.monotonic()
+    probe = partial(_probe_silent, run.owner, run.request.target, connection)
+    with watch_silence(run.owned.evidence, run.request.route, probe=probe) as silence:
+        async with _exchange(run, connection, head, body) as result:
+            silence.waiting = False
             if isinstance(result, Failure):
-                yield Failure(_lost(owner, request, owned, slot, result.failure()))
+                yield Failure(_lost(run, connection, silence, result.failure()))
                 return
             answer = result.unwrap()
             if answer.status == 503 and answer.headers.get(SHED_HEADER):
-                slot.finish(status=503, service_s=0.0, shed=True)
-                yield Failure(not_run(Reason.TARGET_SHED, request.target))
+                run.slot.finish(status=503, service_s=0.0, shed=True)
+                yield Failure(not_run(Reason.TARGET_SHED, run.request.target))
                 return
             # Time to the head: the rest may wait for a slow caller.
-            service_s = owner.monotonic() - started_at
+            service_s = run.owner.monotonic() - started_at
             answer.headers["Siskinlug-Service-Ms"] = f"{service_s * 1000:.2f}"
             try:
                 yield Success(answer)
             finally:
                 if answer.body.whole or answer.body.cut:
-                    _note_answered(owner, request, owned, slot, answer, service_s)
+                    _note_answered(run, silence, answer, service_s)
 
 
-def _note_answered(
-    owner: Owner,
-    request: AttemptRequest,
-    owned: Owned,
-    slot: Slot,
-    answer: Answer,
-    service_s: float,
-) -> None:
-    slot.finish(status=answer.status, service_s=service_s, shed=False)
-    cut = answer.body.cut
-    ok = answer.status < 500 and not cut
-    if cut:
-        _note_possible_crash(owner, request, owned)
-    elif ok and standing(owner.quarantine, request.fingerprint) != CLEAR:
-        note_survived(owner.quarantine, request.fingerprint)
-        owner.on_suspicions()
-    _observe(owner, request, owned, ok=ok, hard=cut, service_s=service_s)
-
+async def _probe_silent(owner: Owner, target: str, connection: Connection) -> bool:
+    """Probe a target that has been silent for longer than usual.
 
-def _note_possible_crash(owner: Owner, request: AttemptRequest, owned: Owned) -> None:
-    note_reset(
-        owner.resets,
-        request.target,
-        owned.announcement["incarnation"],
-        owner.runs_by_target[request.target].fingerprint_by_attempt.values(),
-    )
+    If it answers on a new connection, idle ones may be as silent as this one and are
+    closed. The request itself waits on, since it may be long work.
+    """
+    answered = await owner.probe(target)
+    if answered:
+        owner.connections.drop_address(connection.address)
+    return answered
 
 
 @asynccontextmanager
 async def _exchange(
-    owner: Owner,
-    request: AttemptRequest,
-    connection: Connection,
-    head: RequestHead,
-    body: BodyStream,
+    run: _Run, connection: Connection, head: RequestHead, body: BodyStream
 ) -> AsyncIterator[Result[Answer, ExchangeFailure]]:
-    left_s = request.deadline - owner.monotonic()
+    left_s = run.request.deadline - run.owner.monotonic()
     headers = head.headers
     drop_hop_by_hop(headers)
     drop_prefix(headers, "Siskinlug-")
@@ -363,42 +360,56 @@
         yield result
 
 
+def _note_answered(
+    run: _Run, silence: Silence, answer: Answer, service_s: float
+) -> None:
+    run.slot.finish(status=answer.status, service_s=service_s, shed=False)
+    owner, fingerprint = run.owner, run.request.fingerprint
+    cut = answer.body.cut
+    ok = answer.status < 500 and not cut
+    if cut:
+        _note_possible_crash(run)
+    elif ok and standing(owner.quarantine, fingerprint) != CLEAR:
+        note_survived(owner.quarantine, fingerprint)
+        owner.on_suspicions()
+    if not silence.observed:
+        _observe(run, ok=ok, hard=cut, service_s=service_s)
+
+
+def _note_possible_crash(run: _Run) -> None:
+    target = run.request.target
+    note_reset(
+        run.owner.resets,
+        target,
+        run.owned.announcement["incarnation"],
+        run.owner.runs_by_target[target].fingerprint_by_attempt.values(),
+    )
+
+
 def _lost(
-    owner: Owner,
-    request: AttemptRequest,
-    owned: Owned,
-    slot: Slot,
-    failure: ExchangeFailure,
+    run: _Run, connection: Connection, silence: Silence, failure: ExchangeFailure
 ) -> Refusal:
     """Record an exchange without an answer and return its refusal."""
-    late = owner.monotonic() >= request.deadline
-    slot.finish(status=None, service_s=0.0, shed=False)
-    if failure.cause != "body_cut":
-        _observe(owner, request, owned, ok=False, hard=True, service_s=0.0)
+    late = run.owner.monotonic() >= run.request.deadline
+    run.slot.finish(status=None, service_s=0.0, shed=False)
+    if failure.cause != "body_cut" and not silence.observed:
+        # A target may close a kept connection just as it is used again.
+        hard = failure.cause != "reset" or not connection.reused
+        _observe(run, ok=False, hard=hard)
     if failure.cause == "reset":
-        _note_possible_crash(owner, request, owned)
+        _note_possible_crash(run)
     reason = _REASON_BY_CAUSE[failure.cause]
     if failure.cause == "silent" and late:
         reason = Reason.DEADLINE
-    return may_have_run(reason, f"{request.target}: {failure.cause}")
+    return may_have_run(reason, f"{run.request.target}: {failure.cause}")
 
 
-def _observe(
-    owner: Owner,
-    request: AttemptRequest,
-    owned: Owned,
-    *,
-    ok: bool,
-    hard: bool,
-    service_s: float,
-) -> None:
-    observe(
-        owned.evidence,
-        Outcome(
-            route=request.route,
-            ok=ok,
-            hard=hard,
-            service_s=service_s,
-            baseline_s=request.baseline_s,
-        ),
+def _observe(run: _Run, *, ok: bool, hard: bool, service_s: float = 0.0) -> None:
+    outcome = Outcome(
+        route=run.request.route,
+        ok=ok,
+        hard=hard,
+        service_s=service_s,
+        baseline_s=run.request.baseline_s,
     )
+    observe(run.owned.evidence, outcome)
--- a/siskinlug/settings.py
+++ b/siskinlug/settings.py
@@ -34,6 +34,12 @@
         "host": KeySpec(_HOST, "127.0.0.1", "", "Address to listen on."),
         "caller_port": KeySpec(_PORT, REQUIRED, "port", "Port for callers."),
         "peer_port": KeySpec(_PORT, REQUIRED, "port", "Port for nodes and targets."),
+        "advertise": KeySpec(
+            matching(r"([0-9a-fA-F.:]{2,45}:\d{1,5})?", "host:port"),
+            "",
+            "host:port",
+            "Address at which other nodes reach the peer port, if it is another one.",
+        ),
         "admin_host": KeySpec(
             _HOST, "127.0.0.1", "", "Address of the read-only admin port."
         ),
@@ -108,6 +114,7 @@
     host: str
     caller_port: int
     peer_port: int
+    advertise: str
     admin_host: str
     admin_port: int
     log_url: str
--- a/siskinlug/watch.py
+++ b/siskinlug/watch.py
@@ -132,7 +132,7 @@
             ejection,
             pools=partial(_pool_views, watch, target),
             call_peer=watch.call_promises,
-            probe=partial(_probe, watch, target),
+            probe=partial(probe_target, watch, target),
             note=lambda kind, detail: record(watch.timeline, kind, target, detail),
             on_change=partial(publish_targets, watch),
         )
@@ -192,7 +192,8 @@
     ]
 
 
-async def _probe(watch: Watch, target: str) -> bool:
+async def probe_target(watch: Watch, target: str) -> bool:
+    """Probe an owned target over a new connection."""
     owned = watch.targets.owned_by_target.get(target)
     if owned is None:
         return False
