--- a/siskinlug/cli.py
+++ b/siskinlug/cli.py
@@ -104,7 +104,10 @@
     str, typer.Option(help="Your name in the history; the login name by default.")
 ]
 FileArgument = Annotated[
-    Path, typer.Argument(exists=True, dir_okay=False, readable=True)
+    Path,
+    typer.Argument(
+        exists=True, dir_okay=False, readable=True, help="INI file of the table."
+    ),
 ]
 
 
@@ -117,7 +120,7 @@
     """Check both table files and that every route has its pool.
 
     Lists every fault at once as file, line, section and key. Needs neither the log nor
-    a node, so it suits a commit hook.
+    a node, so it suits a commit hook: `siskinlug check routes.ini pools.ini`
     """
     read = read_tables(
         _read(routes), _read(pools), routes_file=str(routes), pools_file=str(pools)
@@ -190,6 +193,8 @@
     will never be in force; if another change came first it is named, and `diff` shows
     what to merge. **unknown**: the log failed at the wrong moment; the command that
     settles it is printed.
+
+    Example: `siskinlug publish pools pools.ini --base 7 --note "vm12 back" --wait 20`
     """
     text = _read(file)
     if base is None:
@@ -286,7 +291,10 @@
     node: NodeOption,
     as_json: JsonOption = False,
 ) -> None:
-    """Explain where a request would go from one node, and why."""
+    """Explain where a request would go from one node, and why.
+
+    Example: `siskinlug explain GET http://hire.example/availability?size=40`
+    """
     query = urlencode({"method": method, "url": url})
     shown = _run(_get(node, f"/explain?{query}"))
     if as_json:
--- a/siskinlug/node.py
+++ b/siskinlug/node.py
@@ -449,7 +449,6 @@
         {
             "/nodes": nodes_page(directory),
             "/targets": targets_page(directory),
-            "/configuration": lambda _query: position_of(node.configuration.state),
             "/tables": tables_page(node.tables),
             "/configuration": configuration_page(node.configuration),
             "/timeline": timeline_page(node.timeline),
--- a/siskinlug/publishing.py
+++ b/siskinlug/publishing.py
@@ -29,7 +29,8 @@
 
 LOG_TRIMMED = (
     "the log dropped records that no snapshot covers, so the version in force cannot "
-    "be read from it; a running node writes a snapshot within seconds"
+    "be read from it; a node that holds the configuration and reaches the log writes a "
+    "snapshot within seconds"
 )
 
 
