Guard three more rules of publishing and the command line

A rule removed in a scratch copy left no test failing: the first outcome of a repeated publish, waiting for living nodes only, and refusing a log without its beginning.

--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -34,10 +34,10 @@
             self.write({"pools_version": 0 if self.behind[0] else 1})
             return
         nodes = [
-            {"node": "n1", "state": "alive", "host": "127.0.0.1"},
-            {"node": "n2", "state": "dead", "host": "127.0.0.1"},
+            {"node": "n1", "state": "alive", "admin_port": self.ports[0]},
+            {"node": "n2", "state": "dead", "admin_port": 1},
         ]
-        self.write(json.dumps([n | {"admin_port": self.ports[0]} for n in nodes]))
+        self.write(json.dumps([n | {"host": "127.0.0.1"} for n in nodes]))
 
 
 @contextmanager
@@ -132,6 +132,15 @@
                 result = _run(*command, "--log", log)
                 self.assertThat(result.exit_code, Equals(Exit.UNREACHABLE))
 
+    def test_log_without_its_beginning_is_not_read_as_empty(self) -> None:
+        """Guards against a difference to nothing, published as version 1."""
+        with _services() as (state, log, _, _):
+            state.append("configuration", None)
+            state.append("configuration", None)
+            state.faults.retain_records = 1
+            result = _run("diff", "pools", POOLS, "--log", log)
+            self.assertThat(result.exit_code, Equals(Exit.UNREACHABLE))
+
     def test_settle_cancels_what_did_not_arrive(self) -> None:
         with _services() as (_, log, _, _):
             settled = _run("settle", "pools", "c1", "--base", 0, "--log", log)
--- a/tests/test_publishing.py
+++ b/tests/test_publishing.py
@@ -114,6 +114,12 @@
 
         run_virtual(scenario())
 
+    def test_publish_repeated_by_its_operator_has_the_first_outcome(self) -> None:
+        """Guards against a change that is refused because of itself."""
+        fake = FakeLog()
+        first = run_virtual(_publish(fake.log(), "c"))
+        self.assertThat(run_virtual(_publish(fake.log(), "c")), Equals(first))
+
     def test_faulty_table_is_not_sent(self) -> None:
         """Guards against a log filled with tables that every node would refuse."""
         fake = FakeLog()
