--- a/siskinlug/ejection.py
+++ b/siskinlug/ejection.py
@@ -15,6 +15,7 @@
     Evidence,
     Sickness,
     forget,
+    is_suspicious,
     judge,
     observed_requests,
     recent_requests,
@@ -336,7 +337,7 @@
 def _alarmed_scopes(ejection: Ejection) -> list[str]:
     """Scopes for which the target should be ejected, all routes before any."""
     now = ejection.monotonic()
-    if not ejection.status().ready:
+    if not is_suspicious(ejection.evidence) or not ejection.status().ready:
         return []
     sickness_by_scope = judge(ejection.evidence)
     alarmed = [
--- a/siskinlug/evidence.py
+++ b/siskinlug/evidence.py
@@ -33,9 +33,11 @@
 # The usual service time is learned only while the target does not look slow.
 _USUAL_SCORE_MAX = 0.3
 _RECENT_S = 10.0
-# One route alone must not condemn the target: what the other routes show has to
-# reach this part of the threshold, which one stray error does not.
-_OTHER_ROUTES_SCORE = 0.4
+# One route alone must not condemn the target: the sums of the other routes together
+# have to reach this part of the threshold, which one stray error does not.
+_OTHER_ROUTES_SCORE = 0.5
+# Below this score of any route there is nothing to judge.
+_SUSPICIOUS_SCORE = 0.5
 _ROUTES_MAX = 64
 # A request without a first byte for this many usual times makes the owner probe. Of
 # lognormal times with p99 at 6.4 medians 0.2 % pass it.
@@ -143,8 +145,7 @@
         now = monotonic()
         self.all_routes = _Scope(now)
         self.scope_by_route: dict[str, _Scope] = {}
-        # For each route, what all the other routes show together.
-        self.others_by_route: dict[str, _Scope] = {}
+        self.suspicious = False
         self.usual_log_s_by_route: dict[str, float] = {}
 
 
@@ -167,11 +168,10 @@
     if outcome.ok:
         log_ratio = _log_ratio(evidence, outcome)
     add = (now, outcome.ok, outcome.hard, log_ratio)
-    evidence.scope_by_route[route].add(*add)
-    evidence.all_routes.add(*add)
-    for other, scope in evidence.others_by_route.items():
-        if other != route:
-            scope.add(*add)
+    for scope in (evidence.scope_by_route[route], evidence.all_routes):
+        scope.add(*add)
+        if scope.score() >= _SUSPICIOUS_SCORE:
+            evidence.suspicious = True
 
 
 def judge(evidence: Evidence) -> dict[str, Sickness]:
@@ -183,7 +183,7 @@
     """
     now = evidence.monotonic()
     scopes = [evidence.all_routes, *evidence.scope_by_route.values()]
-    for scope in (*scopes, *evidence.others_by_route.values()):
+    for scope in scopes:
         scope.age(now)
     sickness_by_route = {
         route: scope.sickness(scope.score())
@@ -191,15 +191,20 @@
     }
     score = evidence.all_routes.score()
     if len(evidence.scope_by_route) > 1:
-        others = min(scope.score() for scope in evidence.others_by_route.values())
-        score = min(score, others / _OTHER_ROUTES_SCORE)
+        score = min(score, _score_of_others(evidence) / _OTHER_ROUTES_SCORE)
     all_routes = evidence.all_routes.sickness(score)
     if len(evidence.scope_by_route) == 1 and all_routes.cause != "hard":
         all_routes = all_routes._replace(score=0.0)
     sickness_by_route[ALL_ROUTES] = all_routes
+    evidence.suspicious = any(scope.score() >= _SUSPICIOUS_SCORE for scope in scopes)
     return sickness_by_route
 
 
+def is_suspicious(evidence: Evidence) -> bool:
+    """Whether ``judge`` may find a score of one half or more; costs nothing."""
+    return evidence.suspicious
+
+
 def recent_requests(evidence: Evidence, route: str) -> float:
     """Return how many requests of a route, or of ``*``, were observed lately.
 
@@ -247,14 +252,13 @@
     if route == ALL_ROUTES:
         evidence.all_routes = _Scope(now)
         evidence.scope_by_route.clear()
-        evidence.others_by_route.clear()
         return
     if evidence.scope_by_route.pop(route, None) is None:
         return
-    evidence.all_routes = evidence.others_by_route.pop(route)
-    for scope in evidence.others_by_route.values():
-        scope.errors = min(scope.errors, evidence.all_routes.errors)
-        scope.slow = min(scope.slow, evidence.all_routes.slow)
+    errors = sum(scope.errors for scope in evidence.scope_by_route.values())
+    slow = sum(scope.slow for scope in evidence.scope_by_route.values())
+    evidence.all_routes.errors = min(evidence.all_routes.errors, errors)
+    evidence.all_routes.slow = min(evidence.all_routes.slow, slow)
 
 
 def _add_route(evidence: Evidence, route: str, now: float) -> None:
@@ -263,12 +267,19 @@
             evidence.scope_by_route,
             key=lambda name: evidence.scope_by_route[name].last,
         )
-        del evidence.scope_by_route[oldest], evidence.others_by_route[oldest]
+        del evidence.scope_by_route[oldest]
         evidence.usual_log_s_by_route.pop(oldest, None)
-    others = _Scope(now)
-    others.__dict__.update(evidence.all_routes.__dict__)
     evidence.scope_by_route[route] = _Scope(now)
-    evidence.others_by_route[route] = others
+
+
+def _score_of_others(evidence: Evidence) -> float:
+    """Score of all routes without the worst one, from the sums of the routes."""
+    errors = [scope.errors for scope in evidence.scope_by_route.values()]
+    slow = [scope.slow for scope in evidence.scope_by_route.values()]
+    return max(
+        (sum(errors) - max(errors)) / _ERROR_THRESHOLD,
+        (sum(slow) - max(slow)) / _SLOW_THRESHOLD,
+    )
 
 
 def _log_ratio(evidence: Evidence, outcome: Outcome) -> float | None:
