Add the capacity bench: slopes of one daemon and of each kind of state

python -m bench.capacity feeds one real daemon with synthetic peers at four fleet sizes and writes docs/capacity.json. No figures are recorded yet.

--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,556 @@
+"""Slopes of one daemon at several fleet sizes, for ``docs/CAPACITY.md``.
+
+``python -m bench.capacity`` starts one real daemon at a time and feeds it synthetic
+peers, targets, tables, accounts and changes at 1/16, 1/4, 1/1 and 1.5 times the
+two-year size. Raw figures, fits and residuals go to ``docs/capacity.json``.
+Processor time is the kernel's time of the daemon's threads, so other work on the
+machine disturbs it little.
+"""
+
+import asyncio
+import os
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack, suppress
+from pathlib import Path
+from random import Random
+from statistics import fmean, linear_regression, median
+from typing import Any
+
+from returns.result import Success
+from tornado.httputil import HTTPHeaders
+
+from bench.capacity_memory import libraries_mb, measure_memory
+from bench.capacity_peers import Peers, Relay, open_relay
+from bench.capacity_size import (
+    FRACTIONS,
+    PEER_PORT,
+    Size,
+    make_records,
+    path_of,
+    pools_text,
+    routes_text,
+    save_results,
+    size_of,
+)
+from bench.fleet import CALLER_PORT, TOKEN, Fleet, NodeSpec, Process, open_fleet
+from siskinlug.body import bytes_body
+from siskinlug.configuration import EMPTY_STATE, fold, publish_record, snapshot_record, tables_of
+from siskinlug.connections import Address, make_pool, open_connection
+from siskinlug.exchange import RequestHead, exchange
+from siskinlug.messages import Announcement, AnnouncementAnswer
+from standins.log_service import LogState, serve
+
+SEED = 7
+# Fixed number of the fake log's VM and of the daemon in the fleet's address range.
+DAEMON = 1
+OWNED = 8
+REST_S = 6.0
+BURST_S = 3.0
+BURST_PINGS_S = 50
+BURST_RENEWALS_S = 10
+CHANGES = 4
+RECORD_CHANGES = 60
+REQUESTS = 480
+# 35,000 requests/s over 430 nodes.
+REQUESTS_S = 81
+IN_FLIGHT = 8
+WAIT_S = 30.0
+# TCP and IP headers of a call over a connection of its own: 11 segments of 52 bytes.
+TCP_BYTES = 572
+
+
+def cpu_s(pid: int) -> float:
+    """Return the processor time of a process in seconds.
+
+    ``/proc/PID/stat`` counts in steps of 10 ms; the scheduler's figure of each thread
+    is exact.
+    """
+    total = 0
+    for task in Path(f"/proc/{pid}/task").iterdir():
+        with suppress(OSError):
+            total += int((task / "schedstat").read_text().split()[0])
+    return total / 1e9
+
+
+def resident_mb(pid: int) -> float:
+    """Return the resident memory of a process in MB."""
+    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+
+def fit(points: list[tuple[float, float]]) -> dict[str, float]:
+    """Fit a line; the residual is the largest one as a share of the largest value."""
+    slope, base = linear_regression(*zip(*points, strict=True))
+    worst = max(abs(base + slope * x - y) for x, y in points)
+    return {
+        "base": base,
+        "slope": slope,
+        "residual": worst / max(abs(y) for _, y in points),
+    }
+
+
+class _Bench:
+    """One daemon with its peers, its log and its own targets."""
+
+    def __init__(
+        self, fleet: Fleet, peers: Peers, relay: Relay, log: LogState, size: Size
+    ) -> None:
+        self.fleet = fleet
+        self.peers = peers
+        self.relay = relay
+        self.log = log
+        self.size = size
+        self.loop = asyncio.get_running_loop()
+        self.process: Process | None = None
+        self.address: Address = (fleet.host(DAEMON), 8081)
+        self.pool = make_pool(monotonic=self.loop.time)
+
+    @property
+    def pid(self) -> int:
+        """Process id of the daemon."""
+        assert self.process is not None and self.process.popen is not None
+        return self.process.popen.pid
+
+    def publish(self, table: str, text: str, *, base: int) -> None:
+        """Append a change to the log and fold it into the peers' state."""
+        record = publish_record(
+            f"{table}-{base}",
+            table,
+            text,
+            base=base,
+            operator="bench",
+            note="",
+            at_ms=int(time.time() * 1000),
+        )
+        self.log.append("configuration", record)
+        self.follow()
+
+    def follow(self) -> None:
+        """Fold what is new in the log, also snapshots that the daemon wrote."""
+        page = self.log.read("configuration", self.peers.state.offset, 100)
+        for item in page["records"]:
+            self.peers.state = fold(self.peers.state, item["offset"], item["record"])
+
+    async def until(self, condition: Callable[[], bool], what: str) -> float:
+        """Wait for a condition; returns the time at which it held."""
+        deadline = self.loop.time() + WAIT_S
+        while not condition():
+            if self.loop.time() > deadline:
+                raise TimeoutError(what)
+            await asyncio.sleep(0.01)
+        return self.loop.time()
+
+    async def start(self) -> dict[str, float]:
+        """Start the daemon and wait until it takes part."""
+        self.peers.in_force.clear()
+        self.peers.digest = ""
+        node = NodeSpec(DAEMON, "domain-0", "region-a")
+        text = self.fleet.settings_text(node, ())
+        seeds = " ".join(f"{r.host}:{PEER_PORT}" for r in self.peers.records[:3])
+        path = self.fleet.folder / "daemon.ini"
+        path.write_text(text.replace("peers = \n", f"peers = {seeds}\n"))
+        started = self.loop.time()
+        before = self.relay.total(), self.peers.bytes_total()
+        self.process = self.fleet.start(
+            "node-1", ["-m", "siskinlug.daemon", "--config", str(path)]
+        )
+        offset = self.peers.state.offset
+        in_force = await self.until(
+            lambda: offset in self.peers.in_force, "the tables are not in force"
+        )
+        joined = await self.until(self.peers.joined, "the daemon has not joined")
+        return {
+            "in_force_s": in_force - started,
+            "joined_s": joined - started,
+            "cpu_s": cpu_s(self.pid),
+            "rss_mb": resident_mb(self.pid),
+            "log_bytes": self.relay.total() - before[0],
+            "peer_bytes": self.peers.bytes_total() - before[1],
+        }
+
+    def stop(self) -> None:
+        """End the daemon at once."""
+        assert self.process is not None
+        self.process.kill()
+
+    async def over(self, seconds: float, *loads: Awaitable[Any]) -> dict[str, Any]:
+        """Measure the daemon over some seconds under loads."""
+        kinds, calls = self.peers.bytes_by_kind(), self.peers.calls.copy()
+        log, reads = self.relay.total(), self.log.reads
+        connections = self.relay.connections
+        started, cpu = self.loop.time(), cpu_s(self.pid)
+        await asyncio.gather(asyncio.sleep(seconds), *loads)
+        took = self.loop.time() - started
+        used = cpu_s(self.pid) - cpu
+        spent = self.peers.bytes_by_kind() - kinds
+        made = self.peers.calls - calls
+        tcp = TCP_BYTES * (made.total() - made["/announce"])
+        return {
+            "seconds": took,
+            "cpu_s": used,
+            "bytes_by_kind": dict(spent),
+            "calls": dict(made),
+            "tcp_bytes": tcp + TCP_BYTES * (self.relay.connections - connections),
+            "log_bytes": self.relay.total() - log,
+            "log_reads": self.log.reads - reads,
+            "rss_mb": resident_mb(self.pid),
+        }
+
+    async def pings(self, seconds: float, rate: float) -> None:
+        """Send heartbeats to the daemon at a rate."""
+        for _ in range(round(seconds * rate)):
+            await self.peers.ping(self.address)
+            await asyncio.sleep(1 / rate)
+
+    async def announce(self, number: int) -> None:
+        """Renew the announcement of one of the daemon's own targets."""
+        host = self.peers.records[0].host
+        message = Announcement(
+            target=f"own-{number}",
+            service="own",
+            host=host,
+            port=PEER_PORT,
+            slots=IN_FLIGHT,
+            incarnation=1,
+            epoch=1,
+            state="ready",
+            probe_path="/health",
+        )
+        await self.peers.call(self.address, "/announce", message, AnnouncementAnswer)
+
+    async def renewals(self, seconds: float, rate: float) -> None:
+        """Renew the announcements of all own targets at a rate for each."""
+        for _ in range(round(seconds * rate)):
+            started = self.loop.time()
+            for number in range(OWNED):
+                await self.announce(number)
+            spent = self.loop.time() - started
+            await asyncio.sleep(max(0.0, 1 / rate - spent))
+
+    async def configuration_change(self, number: int) -> dict[str, Any]:
+        """Change the routes table; a peer tells the daemon, as after a publish."""
+        text = routes_text(self.size, change=number)
+        self.publish("routes", text, base=number)
+        offset = self.peers.state.offset
+        started = self.loop.time()
+
+        async def tell() -> None:
+            await self.peers.push(self.address, (), position=True)
+            await self.until(lambda: offset in self.peers.in_force, "no change")
+
+        measured = await self.over(1.5, tell())
+        measured["in_force_s"] = self.peers.in_force[offset] - started
+        return measured
+
+    async def record_changes(self) -> None:
+        """Push changed records of peers, as when nodes are replaced."""
+        for number in range(RECORD_CHANGES):
+            at = 1 + number % (self.size.nodes - 1)
+            held = self.peers.records[at]
+            record = held._replace(incarnation=held.incarnation + 1000 + number)
+            self.peers.records[at] = record
+            self.peers.membership.directory.put(record)
+            await self.peers.push(self.address, [record], position=False)
+            await asyncio.sleep(0.04)
+
+    async def requests(self, port: int, head_of: Callable[[int], RequestHead]
+    ) -> dict[str, int]:
+        """Send requests at the usual rate; returns counts of other answers than 200."""
+        failed: Counter[str] = Counter()
+        gate = asyncio.Semaphore(IN_FLIGHT)
+
+        async def one(number: int) -> None:
+            async with (
+                gate,
+                open_connection(self.pool, (self.address[0], port)) as opened,
+            ):
+                assert isinstance(opened, Success)
+                async with exchange(
+                    opened.unwrap(), head_of(number), bytes_body(b""), first_byte_s=5.0
+                ) as result:
+                    if not isinstance(result, Success):
+                        failed[result.failure().cause] += 1
+                        return
+                    answer = result.unwrap()
+                    async for _ in answer.body.chunks():
+                        pass
+                    if answer.status != 200:
+                        reason = answer.headers.get("Siskinlug-Reason", "")
+                        failed[f"{answer.status} {reason}"] += 1
+
+        started = self.loop.time()
+        tasks = []
+        for number in range(REQUESTS):
+            due = started + number / REQUESTS_S
+            await asyncio.sleep(max(0.0, due - self.loop.time()))
+            tasks.append(asyncio.create_task(one(number)))
+        await asyncio.gather(*tasks)
+        return dict(failed)
+
+    def caller_head(self, number: int) -> RequestHead:
+        """Return a caller's request; routes and accounts are spread."""
+        headers = HTTPHeaders(
+            {
+                "Host": "orders.example",
+                "X-Account": f"account-{number * 37 % self.size.accounts:06d}",
+            }
+        )
+        return RequestHead("GET", path_of(number * 7 % self.size.routes), headers)
+
+    def attempt_head(self, number: int) -> RequestHead:
+        """Return an attempt of another node at a target of this daemon."""
+        headers = HTTPHeaders(
+            {
+                "Host": "orders.example",
+                "Siskinlug-Token": TOKEN,
+                "Siskinlug-Attempt": f"node-0009-18bcfe56800-{number:x}",
+                "Siskinlug-Target": f"own-{number % OWNED}",
+                "Siskinlug-Route": f"route-{number * 7 % self.size.routes:04d}",
+                "Siskinlug-Account": f"account-{number * 37 % self.size.accounts:06d}",
+                "Siskinlug-Priority": "5",
+                "Siskinlug-Work": "short",
+                "Siskinlug-Idempotent": "yes",
+                "Siskinlug-Deadline-Ms": "4000",
+                "Siskinlug-Fingerprint": f"{number:032x}",
+            }
+        )
+        return RequestHead("GET", path_of(number * 7 % self.size.routes), headers)
+
+
+async def measure_size(fraction: float, *, number: int) -> dict[str, Any]:
+    """Measure one daemon in a fleet of a size."""
+    size = size_of(fraction)
+    async with AsyncExitStack() as stack:
+        fleet = stack.enter_context(open_fleet())
+        prefix = f"127.{230 + number}"
+        peers = Peers(make_records(size, prefix=prefix), random=Random(SEED))
+        await peers.start()
+        stack.callback(peers.stop)
+        log = LogState()
+        server, log_port = serve(log)
+        stack.callback(server.stop)
+        relay = await stack.enter_async_context(
+            open_relay(fleet.host(0), 8090, log_port)
+        )
+        bench = _Bench(fleet, peers, relay, log, size)
+        stack.callback(bench.pool.close)
+        bench.publish("pools", pools_text(size), base=0)
+        bench.publish("routes", routes_text(size), base=0)
+        snapshot = snapshot_record(peers.state, at_ms=int(time.time() * 1000))
+        log.append("configuration", snapshot)
+        bench.follow()
+        figures: dict[str, Any] = {"fraction": fraction, **size._asdict()}
+        figures["start"] = await bench.start()
+        await asyncio.sleep(2)
+        figures["rest"] = await bench.over(REST_S, bench.pings(REST_S, 1))
+        figures["pings"] = await bench.over(
+            BURST_S, bench.pings(BURST_S, BURST_PINGS_S)
+        )
+        await bench.renewals(2, 1)
+        figures["renewals"] = await bench.over(
+            BURST_S, bench.renewals(BURST_S, BURST_RENEWALS_S)
+        )
+        figures["rest_owning"] = await bench.over(
+            REST_S, bench.pings(REST_S, 1), bench.renewals(REST_S, 1)
+        )
+        figures["changes"] = [
+            await bench.configuration_change(n) for n in range(1, 1 + CHANGES)
+        ]
+        figures["record_changes"] = await bench.over(BURST_S, bench.record_changes())
+        failed = []
+
+        async def as_entry() -> None:
+            failed.append(await bench.requests(CALLER_PORT, bench.caller_head))
+
+        async def as_owner() -> None:
+            failed.append(await bench.requests(8081, bench.attempt_head))
+
+        figures["entry"] = await bench.over(REQUESTS / REQUESTS_S, as_entry())
+        figures["owner"] = await bench.over(
+            REQUESTS / REQUESTS_S,
+            bench.renewals(REQUESTS / REQUESTS_S, 1),
+            as_owner(),
+        )
+        figures["failed_requests"] = failed
+        bench.stop()
+        log.faults.down = "refuse"
+        figures["start_without_log"] = await bench.start()
+        bench.stop()
+    figures["tables"] = _table_costs(size)
+    return figures
+
+
+def _table_costs(size: Size) -> dict[str, float]:
+    """Measure folding and joining tables that were not parsed before."""
+    fold_s, texts = [], 0
+    for change in range(4):
+        state = EMPTY_STATE
+        pools = pools_text(size) + f"# {change}\n"
+        routes = routes_text(size, change=change) + f"# {size} {change}\n"
+        texts = len(pools) + len(routes)
+        started = time.process_time()
+        for offset, (table, text) in enumerate((("pools", pools), ("routes", routes))):
+            record = publish_record(
+                table, table, text, base=0, operator="bench", note="", at_ms=1
+            )
+            state = fold(state, offset, record)
+        tables_of(state)
+        fold_s.append(time.process_time() - started)
+        assert state.routes_version == 1, state.changes
+    return {"fold_cpu_s": median(fold_s), "text_bytes": texts}
+
+
+def derive(sizes: list[dict[str, Any]]) -> list[dict[str, float]]:
+    """Return the figures of each size that slopes are fitted to."""
+    rows = []
+    for at in sizes:
+        rest, owning = at["rest"], at["rest_owning"]
+        ping_s = (
+            at["pings"]["cpu_s"] - rest["cpu_s"] / rest["seconds"] * BURST_S
+        ) / at["pings"]["calls"]["/peer/ping"]
+        renewal_s = (
+            at["renewals"]["cpu_s"]
+            - rest["cpu_s"] / rest["seconds"] * at["renewals"]["seconds"]
+        ) / at["renewals"]["calls"]["/announce"]
+        rest_share = owning["cpu_s"] / owning["seconds"]
+        changes = at["changes"]
+        change_cpu = [
+            max(0.0, c["cpu_s"] - rest["cpu_s"] / rest["seconds"] * c["seconds"])
+            for c in changes
+        ]
+        peer = sum(
+            v for k, v in owning["bytes_by_kind"].items() if k.startswith("/peer/")
+        )
+        announce = owning["bytes_by_kind"].get("/announce", 0)
+        records = at["record_changes"]
+        record_bytes = sum(
+            v
+            for k, v in records["bytes_by_kind"].items()
+            if k in ("/peer/push", "/peer/ping", "/peer/sync")
+        )
+        rows.append(
+            {
+                "nodes": at["nodes"],
+                "targets": at["targets"],
+                "routes": at["routes"],
+                "rss_start_mb": at["start"]["rss_mb"],
+                "rss_end_mb": at["owner"]["rss_mb"],
+                "heartbeat_cpu_ms": ping_s * 1000,
+                "renewal_cpu_ms": renewal_s * 1000,
+                "rest_cpu_percent": 100 * rest_share,
+                "rest_peer_bytes_s": peer / owning["seconds"],
+                "rest_announce_bytes_s": announce / owning["seconds"],
+                "rest_log_bytes_s": owning["log_bytes"] / owning["seconds"],
+                "rest_tcp_bytes_s": owning["tcp_bytes"] / owning["seconds"],
+                "change_cpu_ms": 1000 * fmean(change_cpu),
+                "change_bytes": fmean(
+                    sum(c["bytes_by_kind"].values()) + c["log_bytes"] for c in changes
+                ),
+                "change_fetch_bytes": fmean(
+                    c["bytes_by_kind"].get("/peer/configuration", 0) for c in changes
+                ),
+                "change_in_force_s": fmean(c["in_force_s"] for c in changes),
+                "record_change_bytes": record_bytes / RECORD_CHANGES,
+                "record_change_cpu_ms": 1000
+                * (records["cpu_s"] - rest["cpu_s"] / rest["seconds"] * BURST_S)
+                / RECORD_CHANGES,
+                "entry_cpu_ms": 1000
+                * (
+                    at["entry"]["cpu_s"]
+                    - rest["cpu_s"] / rest["seconds"] * at["entry"]["seconds"]
+                )
+                / REQUESTS,
+                "owner_cpu_ms": 1000
+                * (at["owner"]["cpu_s"] - rest_share * at["owner"]["seconds"])
+                / REQUESTS,
+                "fold_cpu_ms": 1000 * at["tables"]["fold_cpu_s"],
+                "text_bytes": at["tables"]["text_bytes"],
+                "start_s": at["start"]["joined_s"],
+                "start_cpu_s": at["start"]["cpu_s"],
+                "start_bytes": at["start"]["peer_bytes"] + at["start"]["log_bytes"],
+                "start_without_log_s": max(
+                    at["start_without_log"]["joined_s"],
+                    at["start_without_log"]["in_force_s"],
+                ),
+                "start_without_log_cpu_s": at["start_without_log"]["cpu_s"],
+                "start_without_log_bytes": at["start_without_log"]["peer_bytes"],
+            }
+        )
+    return rows
+
+
+# Figure and the count along which it is fitted.
+FITTED = {
+    "rss_start_mb": "nodes",
+    "rss_end_mb": "nodes",
+    "heartbeat_cpu_ms": "nodes",
+    "renewal_cpu_ms": "nodes",
+    "rest_cpu_percent": "nodes",
+    "rest_peer_bytes_s": "nodes",
+    "change_cpu_ms": "routes",
+    "change_bytes": "routes",
+    "change_in_force_s": "routes",
+    "record_change_bytes": "nodes",
+    "record_change_cpu_ms": "nodes",
+    "entry_cpu_ms": "nodes",
+    "owner_cpu_ms": "nodes",
+    "fold_cpu_ms": "routes",
+    "text_bytes": "routes",
+    "start_cpu_s": "nodes",
+    "start_bytes": "nodes",
+}
+
+
+def fits_of(rows: list[dict[str, float]]) -> dict[str, dict[str, float]]:
+    """Fit each figure along its count."""
+    return {
+        name: fit([(row[along], row[name]) for row in rows])
+        for name, along in FITTED.items()
+    }
+
+
+async def _measure() -> tuple[list[dict[str, Any]], dict[str, list[list[int]]], float]:
+    memory = asyncio.create_task(asyncio.to_thread(measure_memory))
+    bare = await asyncio.to_thread(libraries_mb)
+    sizes = []
+    for number, fraction in enumerate(FRACTIONS):
+        sizes.append(await measure_size(fraction, number=number))
+        print(f"{fraction:g} times the size: {sizes[-1]['start']}", flush=True)
+    return sizes, await memory, bare
+
+
+def main() -> None:
+    """Measure, print the fits and write the file."""
+    started = time.monotonic()
+    sizes, memory, bare = asyncio.run(_measure())
+    rows = derive(sizes)
+    fits = fits_of(rows)
+    save_results(
+        "daemon",
+        {
+            "run_s": time.monotonic() - started,
+            "libraries_mb": bare,
+            "load_average": os.getloadavg()[0],
+            "sizes": sizes,
+            "rows": rows,
+            "fits": fits,
+        },
+    )
+    points = {
+        kind: [(float(x), float(y)) for x, y in pairs] for kind, pairs in memory.items()
+    }
+    save_results(
+        "memory",
+        {k: {"points": memory[k], "fit": fit(pairs)} for k, pairs in points.items()},
+    )
+    for name, fitted in fits.items():
+        print(f"{name}: {fitted}")
+    for kind, pairs in points.items():
+        print(f"bytes of a {kind}: {fit(pairs)}")
+    print("written to docs/capacity.json")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/capacity_memory.py
@@ -0,0 +1,278 @@
+"""Memory of each kind of state, measured in a child process with tracemalloc.
+
+``python -m bench.capacity_memory`` prints JSON: for each kind, bytes at four counts.
+"""
+
+import gc
+import subprocess
+import sys
+import tracemalloc
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from bench.capacity_size import (
+    ACCOUNTS,
+    FRACTIONS,
+    ROUTES,
+    Size,
+    make_records,
+    path_of,
+    pools_text,
+    routes_text,
+    size_of,
+)
+from bench.fleet import ROOT
+from siskinlug.account_rates import MAX_ACCOUNTS, check_rate, make_account_rates
+from siskinlug.attempts import (
+    MAX_FINISHED,
+    begin,
+    finish,
+    make_attempts,
+    mark_started,
+)
+from siskinlug.claims import KEY_TTL_S, KeyFold
+from siskinlug.clock import HybridClock
+from siskinlug.configuration import EMPTY_STATE, fold, publish_record, tables_of
+from siskinlug.directory import Directory, NodeRecord
+from siskinlug.evidence import Outcome, make_evidence
+from siskinlug.evidence import observe as observe_outcome
+from siskinlug.links import make_links, note_success
+from siskinlug.load import LoadReport
+from siskinlug.metrics import make_metrics
+from siskinlug.paths import make_paths, note_answer
+from siskinlug.quarantine import MAX_SUSPICIONS, make_quarantine, note_crash
+from siskinlug.routing import match_route
+from siskinlug.service_times import make_service_times, observe
+from siskinlug.timeline import RING_EVENTS, Kind, Timeline, record
+from siskinlug.verdict import Verdict
+
+# Attempts recorded by an owner at 81 requests/s in 600 s.
+ATTEMPTS = 48_600
+KEYS = 20_000
+# Routes of which the evidence of one target is kept.
+EVIDENCE_ROUTES = 64
+LIBRARIES = (
+    "absl.logging, msgspec, returns.result, tornado.httpserver, tornado.tcpclient, "
+    "tornado.web, xxhash, opentelemetry.sdk.metrics, "
+    "opentelemetry.exporter.prometheus, prometheus_client"
+)
+
+
+def _monotonic() -> float:
+    return 1000.0
+
+
+def _records(size: Size, *, targets: bool) -> list[NodeRecord]:
+    """Decode records as they come in a sync, so that no text is shared."""
+    body = msgspec.json.encode(make_records(size, targets=targets))
+    return msgspec.json.decode(body, type=list[NodeRecord])
+
+
+def _directory(fraction: float, *, targets: bool) -> Directory:
+    records = _records(size_of(fraction), targets=targets)
+    directory = Directory(records[0])
+    for held in records[1:]:
+        directory.put(held)
+    return directory
+
+
+def _nodes(count: int) -> Any:
+    directory = _directory(count / size_of(1).nodes, targets=False)
+    links, paths = make_links(monotonic=_monotonic), make_paths(monotonic=_monotonic)
+    for node in directory.record_by_node:
+        note_success(links, node, 0.001)
+        note_answer(paths, node, "route", 0.001)
+    return directory, links, paths
+
+
+def _nodes_with_targets(count: int) -> Any:
+    return _directory(count / size_of(1).targets, targets=True)
+
+
+def _load_reports(count: int) -> Any:
+    # What an entry holds of a target that it sent to.
+    return {
+        f"service-{n % 81:02d}-{n:05d}": (
+            LoadReport(f"service-{n % 81:02d}-{n:05d}", 6, 1, 0, n / 7, n / 3),
+            n / 9,
+        )
+        for n in range(count)
+    }
+
+
+def _routes(count: int) -> Any:
+    size = size_of(count / ROUTES)
+    state = EMPTY_STATE
+    for offset, (table, text) in enumerate(
+        (("pools", pools_text(size)), ("routes", routes_text(size)))
+    ):
+        change = publish_record(
+            table, table, text, base=0, operator="bench", note="", at_ms=1
+        )
+        state = fold(state, offset, change)
+    tables = tables_of(state)
+    assert match_route(tables, "GET", "orders.example", path_of(0)) is not None
+    return state, tables
+
+
+def _route_figures(count: int) -> Any:
+    # What requests of a route leave: service times, metrics, recent times.
+    times, metrics = make_service_times(monotonic=_monotonic), make_metrics()
+    for n in range(count):
+        name = f"route-{n:04d}"
+        for _ in range(64):
+            observe(times, name, 0.01)
+        metrics.requests.add(
+            1, {"route": name, "status": "2xx", "verdict": Verdict.RAN.value}
+        )
+        metrics.duration.record(0.01, {"route": name})
+    return times, metrics
+
+
+def _accounts(count: int) -> Any:
+    rates = make_account_rates(monotonic=_monotonic)
+    for n in range(count):
+        check_rate(rates, "route-0000", f"account-{n:06d}", 50.0)
+    return rates
+
+
+def _attempts(count: int) -> Any:
+    attempts = make_attempts(incarnation=1, monotonic=_monotonic)
+    for n in range(count):
+        name = f"node-0001-18bcfe56800-{n:x}"
+        begin(attempts, name)
+        mark_started(attempts, name)
+        finish(attempts, name, Verdict.RAN)
+    return attempts
+
+
+def _keys(count: int) -> Any:
+    state = KeyFold(ttl_s=KEY_TTL_S)
+    for n in range(count):
+        key, claim, print_ = f"{n:032x}", f"node-0001-18bcfe-{n:x}", f"{n:032x}"
+        entries = [
+            ["c", key, claim, print_, 15_000],
+            ["s", key, claim, Verdict.RAN.value],
+        ]
+        text = msgspec.json.encode(
+            {"home": "node-1@1", "seq": n + 1, "at_ms": 1, "entries": entries}
+        )
+        state.apply(n, msgspec.json.decode(text))
+    return state
+
+
+def _events(count: int) -> Any:
+    timeline = Timeline("node-0001", HybridClock())
+    for n in range(count):
+        record(
+            timeline,
+            Kind.MEMBER_DEAD,
+            f"node-{n:04d}",
+            f"incarnation {1_700_000_000_000 + n}, version {n}",
+        )
+    return timeline
+
+
+def _suspicions(count: int) -> Any:
+    quarantine = make_quarantine(monotonic=_monotonic)
+    for n in range(count):
+        note_crash(quarantine, f"target-{n}@{n}", [f"{n:032x}"])
+    return quarantine
+
+
+def _evidence(count: int) -> Any:
+    evidence = make_evidence(monotonic=_monotonic)
+    for n in range(count):
+        for _ in range(16):
+            name = f"route-{n:04d}"
+            observe_outcome(evidence, Outcome(name, True, False, 0.01, 0.01))
+    return evidence
+
+
+_KINDS: dict[str, tuple[Callable[[int], Any], int]] = {
+    "node": (_nodes, 430),
+    "target": (_nodes_with_targets, 3500),
+    "load_report": (_load_reports, 3500),
+    "route": (_routes, ROUTES),
+    "route_figures": (_route_figures, ROUTES),
+    "account": (_accounts, ACCOUNTS),
+    "attempt": (_attempts, ATTEMPTS),
+    "idempotency_key": (_keys, KEYS),
+    "event": (_events, RING_EVENTS),
+    "suspicion": (_suspicions, MAX_SUSPICIONS),
+    "evidence_route": (_evidence, EVIDENCE_ROUTES),
+}
+# Counts at which the daemon starts to drop the oldest.
+_CAPS = {
+    "account": MAX_ACCOUNTS,
+    "attempt": MAX_FINISHED,
+    "event": RING_EVENTS,
+    "suspicion": MAX_SUSPICIONS,
+    "evidence_route": EVIDENCE_ROUTES,
+}
+
+
+def measure_kind(kind: str) -> list[tuple[int, int]]:
+    """Return counts of a kind and the bytes that they hold."""
+    make, full = _KINDS[kind]
+    make(max(full // 16, 1))  # caches and lazily built state are no slope
+    points = []
+    for fraction in FRACTIONS:
+        count = round(full * fraction)
+        count = min(count, _CAPS.get(kind, count))
+        gc.collect()
+        tracemalloc.start()
+        held = make(count)
+        gc.collect()
+        points.append((count, tracemalloc.get_traced_memory()[0]))
+        tracemalloc.stop()
+        del held
+    return points
+
+
+def libraries_mb() -> float:
+    """Return the resident memory in MB of a process with the libraries alone."""
+    code = (
+        f"import asyncio, {LIBRARIES}, os\n"
+        "pages = int(open('/proc/self/statm').read().split()[1])\n"
+        "print(pages * os.sysconf('SC_PAGE_SIZE') / 1e6)"
+    )
+    return float(
+        subprocess.run(
+            [sys.executable, "-c", code],
+            cwd=ROOT,
+            capture_output=True,
+            check=True,
+            text=True,
+        ).stdout
+    )
+
+
+def main() -> None:
+    """Print the figures of one kind, or of all, as JSON."""
+    kinds = sys.argv[1:] or list(_KINDS)
+    print(
+        msgspec.json.encode({kind: measure_kind(kind) for kind in kinds}).decode(),
+        flush=True,
+    )
+
+
+def measure_memory() -> dict[str, list[list[int]]]:
+    """Measure each kind in a process of its own."""
+    points: dict[str, list[list[int]]] = {}
+    for kind in _KINDS:
+        output = subprocess.run(
+            [sys.executable, "-m", "bench.capacity_memory", kind],
+            cwd=ROOT,
+            capture_output=True,
+            check=True,
+            text=True,
+        ).stdout
+        points |= msgspec.json.decode(output, type=dict[str, list[list[int]]])
+    return points
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/capacity_peers.py
@@ -0,0 +1,310 @@
+"""Synthetic peers in one process: they answer one daemon for a whole fleet."""
+
+import asyncio
+from collections import Counter
+from collections.abc import AsyncIterator, Callable, Sequence
+from contextlib import asynccontextmanager, suppress
+from random import Random
+from typing import Any
+
+import msgspec
+from returns.result import Success
+from tornado.httputil import HTTPHeaders
+
+from bench.fleet import TOKEN
+from siskinlug.clock import HybridClock
+from siskinlug.configuration import EMPTY_STATE, position_of
+from siskinlug.connections import Address, make_pool
+from siskinlug.directory import NodeRecord, mark_of
+from siskinlug.membership import (
+    PING,
+    PING_THROUGH,
+    PUSH,
+    SYNC,
+    handle_ping,
+    handle_push,
+    handle_sync,
+    make_membership,
+)
+from siskinlug.messages import (
+    Gossip,
+    PingThroughAnswer,
+    Position,
+    PushAnswer,
+    SyncRequest,
+    decode,
+    encode,
+)
+from siskinlug.peer_client import Traffic, call_peer, make_peer_client
+from siskinlug.timeline import Timeline
+
+ANSWER = b"x" * 512
+
+
+async def _no_call(*_args: Any, **_options: Any) -> Any:
+    raise NotImplementedError("synthetic peers start no calls of their own")
+
+
+class Peers:
+    """Peers that share one directory and one configuration.
+
+    Attributes:
+        traffic: HTTP bytes between the daemon and the peers; ``sent`` is what the
+            peers sent.
+        calls: Calls between the daemon and the peers, by path.
+        in_force: Time at which a message of the daemon first carried an offset.
+        digest: Digest that the daemon sent last.
+    """
+
+    def __init__(self, records: Sequence[NodeRecord], *, random: Random) -> None:
+        self.records = list(records)
+        self.random = random
+        self.membership = make_membership(
+            records[0],
+            call=_no_call,
+            timeline=Timeline(records[0].node, HybridClock()),
+            monotonic=asyncio.get_running_loop().time,
+            random=random,
+        )
+        for record in records[1:]:
+            self.membership.directory.put(record)
+        self.record_by_host = {record.host: record for record in records}
+        self.state = EMPTY_STATE
+        self.traffic = Traffic()
+        self.calls: Counter[str] = Counter()
+        self.in_force: dict[int, float] = {}
+        self.digest = ""
+        self.servers: list[asyncio.Server] = []
+        self.client = make_peer_client(
+            make_pool(monotonic=asyncio.get_running_loop().time),
+            token=TOKEN,
+            traffic=Traffic(),
+        )
+
+    def bytes_total(self) -> int:
+        """Return all HTTP bytes so far, of both directions."""
+        return self.traffic.total() + self.client.traffic.total()
+
+    def bytes_by_kind(self) -> Counter[str]:
+        """Return all HTTP bytes so far by path."""
+        total: Counter[str] = Counter()
+        for traffic in (self.traffic, self.client.traffic):
+            total += traffic.sent_by_kind + traffic.received_by_kind
+        return total
+
+    def joined(self) -> bool:
+        """Whether the daemon holds the same directory as the peers."""
+        return self.digest == self.membership.directory.digest()
+
+    def gossip(
+        self,
+        sender: NodeRecord,
+        *,
+        digest: bool,
+        records: Sequence[NodeRecord] = (),
+        position: bool = True,
+    ) -> Gossip:
+        """Build a message of a peer."""
+        payloads: dict[str, Any] = {}
+        if position:
+            payloads["configuration"] = position_of(self.state)
+        return Gossip(
+            mark_of(sender),
+            self.membership.clock.now(),
+            self.membership.directory.digest() if digest else "",
+            [],
+            list(records),
+            {name: _raw(value) for name, value in payloads.items()},
+        )
+
+    async def call(
+        self, address: Address, path: str, message: Any, answer_type: Any
+    ) -> Any:
+        """Call the daemon over a new connection, as most calls of a fleet do."""
+        self.calls[path] += 1
+        result = await call_peer(
+            self.client, address, path, message, answer_type, timeout_s=3.0, fresh=True
+        )
+        if not isinstance(result, Success):
+            raise RuntimeError(f"{path}: {result.failure()}")
+        return result.unwrap()
+
+    async def ping(self, address: Address) -> None:
+        """Send a heartbeat of a random peer to the daemon."""
+        sender = self.random.choice(self.records)
+        answer = await self.call(
+            address, PING, self.gossip(sender, digest=True), Gossip
+        )
+        self._note(answer)
+
+    async def push(
+        self, address: Address, records: Sequence[NodeRecord], *, position: bool
+    ) -> None:
+        """Send an urgent push of a random peer to the daemon."""
+        sender = self.random.choice(self.records)
+        message = self.gossip(sender, digest=False, records=records, position=position)
+        await self.call(address, PUSH, message, PushAnswer)
+
+    def _note(self, message: Gossip) -> None:
+        if message.digest:
+            self.digest = message.digest
+        raw = message.payloads.get("configuration")
+        if raw is not None:
+            offset = decode(bytes(raw), Position)["offset"]
+            now = asyncio.get_running_loop().time()
+            self.in_force.setdefault(offset, now)
+
+    def answer(self, host: str, path: str, body: bytes) -> tuple[bytes, str]:
+        """Answer a message of the daemon; returns the body and a status line."""
+        record = self.record_by_host[host]
+        kind = path.partition("?")[0]
+        if kind == PING:
+            message = decode(body, Gossip)
+            self._note(message)
+            handle_ping(self.membership, message)
+            return encode(self.gossip(record, digest=True)), "200 OK"
+        if kind == PUSH:
+            message = decode(body, Gossip)
+            self._note(message)
+            handle_push(self.membership, message)
+            return encode(PushAnswer(mark_of(record))), "200 OK"
+        if kind == SYNC:
+            return encode(handle_sync(self.membership, decode(body, SyncRequest))), (
+                "200 OK"
+            )
+        if kind == PING_THROUGH:
+            return encode(PingThroughAnswer(True)), "200 OK"
+        if kind == "/peer/configuration":
+            ahead = self.state.offset > decode(body, Position)["offset"]
+            return encode(self.state if ahead else None), "200 OK"
+        if kind.startswith("/peer/"):
+            return b"{}", "404 Not Found"
+        return ANSWER, "200 OK"
+
+    async def start(self) -> None:
+        """Listen on the address of each peer."""
+        loop = asyncio.get_running_loop()
+        for record in self.records:
+            self.servers.append(
+                await loop.create_server(
+                    lambda host=record.host: _Connection(self, host),
+                    record.host,
+                    record.peer_port,
+                )
+            )
+
+    def stop(self) -> None:
+        """Stop listening."""
+        for server in self.servers:
+            server.close()
+        self.client.pool.close()
+
+
+def _raw(value: Any) -> Any:
+    return msgspec.Raw(encode(value))
+
+
+class _Connection(asyncio.Protocol):
+    """A kept connection that answers requests with a ``Content-Length`` in turn."""
+
+    def __init__(self, peers: Peers, host: str) -> None:
+        self.peers = peers
+        self.host = host
+        self.buffer = b""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        self.buffer += data
+        while (end := self.buffer.find(b"\r\n\r\n")) >= 0:
+            start, _, fields = self.buffer[:end].decode("latin-1").partition("\r\n")
+            headers = HTTPHeaders.parse(fields)
+            whole = end + 4 + int(headers.get("Content-Length", "0"))
+            if len(self.buffer) < whole:
+                return
+            body, rest = self.buffer[end + 4 : whole], self.buffer[whole:]
+            self.buffer = rest
+            self._answer(start.split(" ")[1], headers, body, whole)
+
+    def _answer(self, path: str, headers: HTTPHeaders, body: bytes, size: int) -> None:
+        attempt = "Siskinlug-Attempt" in headers
+        kind = "attempt" if attempt else path.partition("?")[0]
+        answered, status = self.peers.answer(self.host, path, body)
+        extra = ""
+        if attempt:
+            extra = f"Siskinlug-Load: {headers['Siskinlug-Target']};6;1;0;0.1;2.0;4;0.0"
+            extra += "\r\n"
+        head = (
+            f"HTTP/1.1 {status}\r\nContent-Type: application/json\r\n{extra}"
+            f"Content-Length: {len(answered)}\r\n\r\n"
+        ).encode()
+        self.transport.write(head + answered)
+        if kind.startswith("/peer/"):
+            self.peers.calls[kind] += 1
+            self.peers.traffic.count(kind, sent=len(head + answered), received=size)
+
+
+class Relay:
+    """Relay to the log that counts bytes and can be cut."""
+
+    def __init__(self, port: int) -> None:
+        self.port = port
+        self.sent = 0
+        self.received = 0
+        self.connections = 0
+
+    def total(self) -> int:
+        """Return the bytes of both directions."""
+        return self.sent + self.received
+
+    async def carry(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Carry one connection."""
+        self.connections += 1
+        log_reader, log_writer = await asyncio.open_connection("127.0.0.1", self.port)
+
+        async def pipe(
+            source: asyncio.StreamReader,
+            sink: asyncio.StreamWriter,
+            count: Callable[[int], None],
+        ) -> None:
+            with suppress(OSError):
+                while chunk := await source.read(65_536):
+                    count(len(chunk))
+                    sink.write(chunk)
+                    await sink.drain()
+            sink.close()
+
+        await asyncio.gather(
+            pipe(reader, log_writer, self._count_received),
+            pipe(log_reader, writer, self._count_sent),
+        )
+
+    def _count_received(self, size: int) -> None:
+        self.received += size
+
+    def _count_sent(self, size: int) -> None:
+        self.sent += size
+
+
+@asynccontextmanager
+async def open_relay(host: str, port: int, log_port: int) -> AsyncIterator[Relay]:
+    """Listen for the daemon's connections to the log inside the block."""
+    relay = Relay(log_port)
+    tasks: set[asyncio.Task[None]] = set()
+
+    def connected(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.create_task(relay.carry(reader, writer))
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+
+    server = await asyncio.start_server(connected, host, port)
+    try:
+        yield relay
+    finally:
+        server.close()
+        for task in list(tasks):
+            task.cancel()
