--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -36,7 +36,13 @@
 )
 from bench.fleet import CALLER_PORT, TOKEN, Fleet, NodeSpec, Process, open_fleet
 from siskinlug.body import bytes_body
-from siskinlug.configuration import EMPTY_STATE, fold, publish_record, snapshot_record, tables_of
+from siskinlug.configuration import (
+    EMPTY_STATE,
+    fold,
+    publish_record,
+    snapshot_record,
+    tables_of,
+)
 from siskinlug.connections import Address, make_pool, open_connection
 from siskinlug.exchange import RequestHead, exchange
 from siskinlug.messages import Announcement, AnnouncementAnswer
@@ -255,7 +261,8 @@
             await self.peers.push(self.address, [record], position=False)
             await asyncio.sleep(0.04)
 
-    async def requests(self, port: int, head_of: Callable[[int], RequestHead]
+    async def requests(
+        self, port: int, head_of: Callable[[int], RequestHead]
     ) -> dict[str, int]:
         """Send requests at the usual rate; returns counts of other answers than 200."""
         failed: Counter[str] = Counter()
--- a/bench/capacity_peers.py
+++ b/bench/capacity_peers.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import asynccontextmanager, suppress
+from functools import partial
 from random import Random
 from typing import Any
 
@@ -187,7 +188,7 @@
         for record in self.records:
             self.servers.append(
                 await loop.create_server(
-                    lambda host=record.host: _Connection(self, host),
+                    partial(_Connection, self, record.host),
                     record.host,
                     record.peer_port,
                 )
