Add siskinlug timeline; keep the stand-in target from returning to a leaving node

Cause: a target whose owner was draining moved away and back on every renewal, since the old owner still listened; its epoch rose to 68 in a second (seen in the merged timeline of a planned stop).

--- a/siskinlug/cli.py
+++ b/siskinlug/cli.py
@@ -309,6 +309,44 @@
     _print_rows("left out", shown["left_out"])
 
 
+@app.command()
+def timeline(
+    node: NodeOption,
+    kind: Annotated[
+        list[str] | None, typer.Option(help="Kind of event, or its start; repeatable.")
+    ] = None,
+    only: Annotated[
+        list[str] | None, typer.Option(help="Process to show; repeatable.")
+    ] = None,
+    subject: Annotated[str, typer.Option(help="Text that the subject contains.")] = "",
+    last: Annotated[
+        float | None, typer.Option(help="Only the last seconds.", metavar="S")
+    ] = None,
+    follow: Annotated[bool, typer.Option(help="Go on until interrupted.")] = False,
+    picture: Annotated[
+        Path | None, typer.Option(help="Write an SVG or PNG, a lane a process.")
+    ] = None,
+) -> None:
+    """Show the events of all nodes, merged in causal order.
+
+    Example: `siskinlug timeline --kind target_ --last 60`
+    """
+    # Imported here: it brings in matplotlib, which no other command needs.
+    from siskinlug.timeline_view import run_timeline
+
+    status = run_timeline(
+        [node.removeprefix("http://").rstrip("/")],
+        kinds=kind or (),
+        nodes=only or (),
+        subject=subject,
+        last_s=last,
+        discover=True,
+        follow=follow,
+        picture=picture,
+    )
+    raise typer.Exit(status)
+
+
 def main() -> None:
     """Run the command line."""
     app()
--- a/standins/target.py
+++ b/standins/target.py
@@ -29,6 +29,7 @@
 RENEWALS_BEFORE_MOVE = 2
 MAX_REQUEST_BYTES = 64 << 20
 MAX_RUNS = 500_000
+HOME_RETRY_S = 5.0
 # A request that the owner wrote before it learnt of the stop may still be on its way.
 STOP_QUIET_S = 0.3
 
@@ -107,6 +108,8 @@
         self.incarnation = time.time_ns() // 1_000_000
         self.epoch = 1
         self.owner = options.announce
+        # A node that leaves goes on listening until it has finished its work.
+        self.home_not_before = 0.0
         self.alternatives: list[str] = []
         self.state = "ready"
         self.in_use = 0
@@ -237,6 +240,9 @@
     home = target.options.announce
     if target.owner == home or target.state != "ready":
         return False
+    if time.monotonic() < target.home_not_before:
+        return False
+    target.home_not_before = time.monotonic() + HOME_RETRY_S
     host, _, port = home.rpartition(":")
     try:
         stream = await TCPClient().connect(host, int(port), timeout=RENEW_TIMEOUT_S)
@@ -270,6 +276,7 @@
             target.alternatives = outcome["alternatives"]
             if lease_s == 0.0 and target.alternatives:
                 # The owner is leaving and holds no lease.
+                target.home_not_before = time.monotonic() + HOME_RETRY_S
                 target.owner = target.alternatives.pop(0)
                 target.epoch += 1
                 continue
