Start over where the log lost the configuration

A log that dropped all records while no node ran could never be configured again: the versions in force were unknown, so every publish was refused. start-over puts both tables in force with the wall clock's seconds as version; the state after it depends on the record alone, so readers that know what came before and readers that do not agree.

Ruled out: taking the oldest retained record as the first (a node that knows more would disagree).

--- a/siskinlug/cli.py
+++ b/siskinlug/cli.py
@@ -23,7 +23,7 @@
 from siskinlug.configuration import EMPTY_STATE, accepted_as
 from siskinlug.ini import Fault
 from siskinlug.log_client import Log, open_log
-from siskinlug.publishing import LOG_TRIMMED, Outcome, publish, settle
+from siskinlug.publishing import LOG_TRIMMED, Outcome, publish, settle, start_over
 from siskinlug.tables import Pool, Route, parse_pools, parse_routes, read_tables
 
 ADMIN_TIMEOUT_S = 3.0
@@ -206,7 +206,7 @@
                 opened,
                 table.value,
                 text,
-                change=change or f"{int(time.time()):x}-{secrets.token_hex(4)}",
+                change=change or _new_id(),
                 base=base,
                 operator=operator or getpass.getuser(),
                 note=note,
@@ -247,6 +247,40 @@
     _report(outcome, [], as_json=as_json)
 
 
+@app.command("start-over")
+def start_over_tables(
+    routes: FileArgument,
+    pools: FileArgument,
+    log: LogOption,
+    note: Annotated[str, typer.Option(help="Why, for the history.")] = "",
+    operator: OperatorOption = "",
+    change: Annotated[
+        str,
+        typer.Option("--id", help="Id of the change; the same id is published once."),
+    ] = "",
+    as_json: JsonOption = False,
+) -> None:
+    """Publish both tables when the log has lost the configuration.
+
+    This happens when no node ran for longer than the log keeps records. The command is
+    refused while the configuration can still be read from the log.
+    """
+    texts = _read(routes), _read(pools)
+    outcome = _run(
+        _with_log(
+            log,
+            lambda opened: start_over(
+                opened,
+                *texts,
+                change=change or _new_id(),
+                operator=operator or getpass.getuser(),
+                note=note,
+            ),
+        )
+    )
+    _report(outcome, [], as_json=as_json)
+
+
 @app.command()
 def history(
     log: LogOption,
@@ -450,6 +484,11 @@
         raise typer.Exit(Exit.INVALID) from None
 
 
+def _new_id() -> str:
+    """Return an id that no other change has."""
+    return f"{int(time.time()):x}-{secrets.token_hex(4)}"
+
+
 def _run(main: Coroutine[Any, Any, Any]) -> Any:
     return asyncio.run(main)
 
--- a/siskinlug/config_sync.py
+++ b/siskinlug/config_sync.py
@@ -22,6 +22,7 @@
     position_of,
     snapshot_record,
     snapshot_state,
+    started_over,
     tables_of,
 )
 from siskinlug.log_client import Effect, Log, LogError, LogPage
@@ -228,7 +229,7 @@
         gap = state.offset < page.first
         if not searched and (gap or page.next - state.offset > FAR_BEHIND_RECORDS):
             searched = True
-            found = await _newest_snapshot(log, state, page)
+            found = await _find_beginning(log, state, page)
             if isinstance(found, Failure):
                 return found
             if found.unwrap() != state:
@@ -250,14 +251,19 @@
         await asyncio.to_thread(work, *arguments)
 
 
-async def _newest_snapshot(
+async def _find_beginning(
     log: Log, state: ConfigurationState, page: LogPage
 ) -> Result[ConfigurationState, LogError]:
-    """Search the log backwards for a snapshot from which it can be folded on."""
+    """Search the log backwards for a state from which it can be folded on.
+
+    That is the newest snapshot, or else, after a gap, the oldest start over.
+    """
     end, low = page.next, max(page.first, state.offset)
+    gap = state.offset < page.first
+    oldest: ConfigurationState | None = None
     while end > low:
-        start = max(low, end - PAGE_RECORDS)
-        read = await log.read(STREAM, start, limit=end - start)
+        begin = max(low, end - PAGE_RECORDS)
+        read = await log.read(STREAM, begin, limit=end - begin)
         if isinstance(read, Failure):
             return read
         found = read.unwrap()
@@ -270,8 +276,10 @@
                 adopted = adopt(state, snapshot)
                 if adopted != state:
                     return Success(adopted)
-        end = start
-    return Success(state)
+            if gap:
+                oldest = started_over(item.offset, item.record) or oldest
+        end = begin
+    return Success(state if oldest is None else adopt(state, oldest))
 
 
 async def _poll_log(
--- a/siskinlug/configuration.py
+++ b/siskinlug/configuration.py
@@ -121,7 +121,17 @@
     at_ms: int
 
 
-_Record = _Publish | _Cancel | _Snapshot
+class _StartOver(msgspec.Struct, tag_field="kind", tag="start-over"):
+    id: str
+    version: int
+    routes_text: str
+    pools_text: str
+    operator: str
+    note: str
+    at_ms: int
+
+
+_Record = _Publish | _Cancel | _Snapshot | _StartOver
 
 
 def publish_record(
@@ -150,12 +160,33 @@
     return msgspec.to_builtins(_Snapshot(state, at_ms))
 
 
+def start_over_record(
+    change: str,
+    routes_text: str,
+    pools_text: str,
+    *,
+    version: int,
+    operator: str,
+    note: str,
+    at_ms: int,
+) -> Any:
+    """Build the record that puts both tables in force whatever came before.
+
+    Its version must be higher than all that were ever in force, which readers of a log
+    without its beginning cannot know.
+    """
+    return msgspec.to_builtins(
+        _StartOver(change, version, routes_text, pools_text, operator, note, at_ms)
+    )
+
+
 def fold(state: ConfigurationState, offset: int, record: Any) -> ConfigurationState:
     """Fold one record of the log into the state.
 
     A publish is accepted only if its base is the version in force of its table and
     the joined tables stay valid. An id that was decided before counts once. A snapshot
-    repeats what the reader already has, and a record of unknown shape is passed over.
+    repeats what the reader already has, a start over replaces all if its version is
+    higher, and a record of unknown shape is passed over.
 
     Args:
         state: The state of the records below ``state.offset``.
@@ -192,6 +223,8 @@
             return state._replace(
                 snapshot_offset=snapshot.state.offset, snapshot_at_ms=snapshot.at_ms
             )
+        case _StartOver() as start:
+            return _fold_start_over(state, offset, start)
     return state
 
 
@@ -201,6 +234,16 @@
     return decoded.state if isinstance(decoded, _Snapshot) else None
 
 
+def started_over(offset: int, record: Any) -> ConfigurationState | None:
+    """Return the state after a record if it starts over, for readers of no prefix."""
+    decoded = _decode(record)
+    if not isinstance(decoded, _StartOver):
+        return None
+    before = EMPTY_STATE._replace(offset=offset + 1)
+    after = _fold_start_over(before, offset, decoded)
+    return after if after.routes_version else None
+
+
 def adopt(own: ConfigurationState, other: ConfigurationState) -> ConfigurationState:
     """Return the state of a snapshot or a peer if it is later, else the own one.
 
@@ -317,6 +360,47 @@
     return _decide(after, change)
 
 
+def _fold_start_over(
+    state: ConfigurationState, offset: int, start: _StartOver
+) -> ConfigurationState:
+    """Put both tables in force, with a state that depends on this record alone.
+
+    Readers that know what came before and readers that do not must end up alike, so
+    an earlier decision on the same id is no obstacle.
+    """
+    version = start.version
+    faults = check_texts(start.routes_text, start.pools_text)
+    later = version > max(state.routes_version, state.pools_version)
+    cause = "invalid" if faults else "" if later else "conflict"
+    routes, pools = (
+        Change(
+            start.id,
+            table,
+            0,
+            0 if cause else version,
+            start.operator,
+            start.note,
+            start.at_ms,
+            offset,
+            cause,
+            "; ".join(map(str, faults[:3])) or ("" if later else "not a later version"),
+        )
+        for table in TABLES
+    )
+    if cause:
+        return _decide(state, routes)
+    return ConfigurationState(
+        offset=state.offset,
+        routes_version=version,
+        pools_version=version,
+        routes_text=start.routes_text,
+        pools_text=start.pools_text,
+        changes=(routes, pools),
+        snapshot_offset=offset,
+        snapshot_at_ms=start.at_ms,
+    )
+
+
 def _decide(state: ConfigurationState, change: Change) -> ConfigurationState:
     """Note a decision, unless there was one on the same id before."""
     if find_change(state, change.change) is not None:
--- a/siskinlug/publishing.py
+++ b/siskinlug/publishing.py
@@ -21,6 +21,7 @@
     conflict,
     find_change,
     publish_record,
+    start_over_record,
 )
 from siskinlug.log_client import Effect, Log, LogError
 
@@ -30,7 +31,7 @@
 LOG_TRIMMED = (
     "the log dropped records that no snapshot covers, so the version in force cannot "
     "be read from it; a node that holds the configuration and reaches the log writes a "
-    "snapshot within seconds"
+    "snapshot within seconds; if there is none left, see siskinlug start-over --help"
 )
 
 
@@ -185,6 +186,77 @@
     )
 
 
+async def start_over(
+    log: Log,
+    routes_text: str,
+    pools_text: str,
+    *,
+    change: str,
+    operator: str,
+    note: str = "",
+    timeout_s: float = TIMEOUT_S,
+    monotonic: Callable[[], float] = time.monotonic,
+    wall_ms: Callable[[], int] = wall_clock_ms,
+    sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
+) -> Outcome:
+    """Put both tables in force where the log dropped what came before.
+
+    The versions go on from the seconds of the wall clock, which are higher than any
+    number of changes. Refused while the configuration can be read from the log.
+
+    Args:
+        log: The log.
+        routes_text: Text of the routes table.
+        pools_text: Text of the pools table.
+        change: Id of the change; the same id may be given again.
+        operator: Who starts over.
+        note: What others should know about it.
+        timeout_s: As for ``publish``.
+        monotonic: Clock, in seconds.
+        wall_ms: Wall clock, milliseconds.
+        sleep: Waits for some seconds.
+    """
+    read = await catch_up(log, EMPTY_STATE)
+    if isinstance(read, Failure):
+        detail = f"the log is unavailable ({read.failure().detail}); nothing was sent"
+        return Outcome("refused", change, "routes", cause="log", detail=detail)
+    start = read.unwrap()
+    decided = find_change(start.state, change)
+    if decided is not None:
+        return _outcome(decided)
+    if start.complete:
+        detail = "the configuration can be read from the log; publish the tables"
+        return Outcome("refused", change, "routes", cause="conflict", detail=detail)
+    if faults := check_texts(routes_text, pools_text):
+        detail = "\n".join(map(str, faults))
+        return Outcome("refused", change, "routes", cause="invalid", detail=detail)
+    now_ms = wall_ms()
+    record = start_over_record(
+        change,
+        routes_text,
+        pools_text,
+        version=now_ms // 1000,
+        operator=operator,
+        note=note,
+        at_ms=now_ms,
+    )
+    outcome = await _append_until_decided(
+        log,
+        start,
+        record,
+        change,
+        "routes",
+        0,
+        monotonic() + timeout_s,
+        monotonic,
+        sleep,
+    )
+    if outcome.kind == "unknown":
+        command = f"siskinlug start-over ROUTES POOLS --id {change}"
+        return outcome._replace(settle=command)
+    return outcome
+
+
 def _check(
     state: ConfigurationState, table: str, text: str, base: int, change: str
 ) -> Outcome | None:
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -40,6 +40,7 @@
     position_of,
     publish_record,
     snapshot_record,
+    start_over_record,
     tables_of,
 )
 from siskinlug.messages import Position, encode
@@ -79,6 +80,11 @@
     for entry in records:
         if not isinstance(entry, dict) or entry.get("id") in held.decided:
             continue
+        if entry.get("kind") == "start-over":
+            held.versions.update(routes=entry["version"], pools=entry["version"])
+            held.texts.update(routes=entry["routes_text"], pools=entry["pools_text"])
+            held.decided.clear()
+            held.decided[entry["id"]] = entry["version"]
         if entry.get("kind") == "cancel":
             held.decided[entry["id"]] = 0
         if entry.get("kind") != "publish" or "table" not in entry:
@@ -145,6 +151,23 @@
             else:
                 self.fake.add(sent)
 
+    @rule()
+    def append_start_over(self) -> None:
+        self.now_ms += 1_000_000  # more seconds than changes, as the rule needs
+        routes, pools = list(NEEDS)[1], list(HAS)[1]
+        version = self.now_ms // 1000
+        self.fake.add(
+            start_over_record(
+                f"over-{version}",
+                routes,
+                pools,
+                version=version,
+                operator="o",
+                note="",
+                at_ms=1,
+            )
+        )
+
     @rule(change=IDS)
     def append_cancel(self, change: str) -> None:
         self.fake.add(cancel_record(change, "routes", operator="o", at_ms=1))
@@ -346,6 +369,17 @@
         self.assertFalse(note_position(view, "peer", position))
         self.assertTrue(note_position(view, "peer", {**position, "pools_version": 1}))
 
+    def test_start_over_of_no_later_version_is_refused(self) -> None:
+        """Guards against a revert, also for a reader that is far behind."""
+        fake = FakeLog()
+        fake.add(_record("c1", "pools", "[a]\nservice = x\n"))
+        sent = start_over_record("s", "", "", version=1, operator="o", note="", at_ms=1)
+        for record in [sent, *range(20)]:
+            fake.add(record)
+        state = run_virtual(catch_up(fake.log(), EMPTY_STATE)).unwrap().state
+        self.assertThat(state.pools_text, Equals("[a]\nservice = x\n"))
+        self.assertThat([c.cause for c in state.changes], Equals(["", "conflict"]))
+
     def test_large_table_is_parsed_beside_the_loop(self) -> None:
         """Guards against a publish that stops all requests of a node for 60 ms."""
         threads = set()
--- a/tests/test_publishing.py
+++ b/tests/test_publishing.py
@@ -13,7 +13,7 @@
 from siskinlug.config_sync import catch_up
 from siskinlug.configuration import EMPTY_STATE, ConfigurationState, find_change
 from siskinlug.log_client import Log
-from siskinlug.publishing import Outcome, publish, settle
+from siskinlug.publishing import Outcome, publish, settle, start_over
 from standins.log_service import LogState
 from tests.fake_configuration_log import FakeLog
 from tests.test_log_client import run_with_log
@@ -159,6 +159,33 @@
 
         run_virtual(scenario())
 
+    def test_start_over_ends_a_log_without_beginning(self) -> None:
+        """Guards against a fleet that can never be configured again."""
+        fake = FakeLog()
+        text = "[r]\npool = a\n"
+
+        async def scenario() -> None:
+            log = fake.log()
+
+            async def start(change: str) -> Outcome:
+                loop = asyncio.get_running_loop()
+                return await start_over(
+                    log, text, POOLS, change=change, operator="o", monotonic=loop.time
+                )
+
+            await _publish(log, "c1")
+            self.assertThat((await start("s1")).cause, Equals("conflict"))
+            fake.trim(0)
+            self.assertThat((await _publish(log, "c2")).cause, Equals("log"))
+            fake.faults = iter(["lost", "doubled"])
+            first = await start("s2")
+            self.assertThat(first.kind, Equals("accepted"))
+            self.assertThat(await start("s2"), Equals(first))
+            second = await _publish(log, "c3", base=first.version)
+            self.assertThat(second.version, Equals(first.version + 1))
+
+        run_virtual(scenario())
+
     def test_publish_over_http(self) -> None:
         """Guards against records that the wire changes."""
 
