--- a/siskinlug/ejection.py
+++ b/siskinlug/ejection.py
@@ -15,6 +15,7 @@
     Evidence,
     Sickness,
     forget,
+    is_suspicious,
     judge,
     observed_requests,
     recent_requests,
@@ -336,7 +337,7 @@
 def _alarmed_scopes(ejection: Ejection) -> list[str]:
     """Scopes for which the target should be ejected, all routes before any."""
     now = ejection.monotonic()
-    if not ejection.status().ready:
+    if not is_suspicious(ejection.evidence) or not ejection.status().ready:
         return []
     sickness_by_scope = judge(ejection.evidence)
     alarmed = [
@@ -383,6 +384,9 @@
             return
         ejection.out_by_scope[scope] = out
         ejection.failures_by_scope.pop(scope, None)
+        if scope != ALL_ROUTES:
+            # Its failures must not count against the routes that stay in.
+            forget(ejection.evidence, scope)
         runner.note(Kind.TARGET_EJECTED, f"{scope}: {sickness}")
         _publish(runner)
         try:
