--- a/siskinlug/admission.py
+++ b/siskinlug/admission.py
@@ -387,7 +387,10 @@
 
     def _may_start(self, long_work: bool) -> bool:
         if self.in_use >= self.limit_now:
-            return False
+            # The limit may fall below the slots that long work already holds; short
+            # work still gets one.
+            alone = self.in_use == self.long_in_use
+            return not long_work and alone and 0 < self.in_use < self.slots
         return not long_work or self.long_in_use < self.limit_now - self.reserve
 
     def _start(self, ticket: Ticket, now: float) -> Slot:
--- a/siskinlug/entry.py
+++ b/siskinlug/entry.py
@@ -21,6 +21,14 @@
 from siskinlug.account_rates import AccountRates, check_rate
 from siskinlug.body import BodyCut
 from siskinlug.choice import Candidate, Choice
+from siskinlug.claims import (
+    MAX_ANSWER_BYTES,
+    Claims,
+    KeptAnswer,
+    claim,
+    key_digest,
+    settle,
+)
 from siskinlug.connections import (
     IDLE_MAX_S,
     NON_IDEMPOTENT_IDLE_MAX_S,
@@ -28,8 +36,15 @@
     open_connection,
 )
 from siskinlug.directory import Directory, NodeRecord, TargetRecord
-from siskinlug.exchange import Answer, RequestHead, end_to_end, exchange
-from siskinlug.inbound import Inbound, send_refusal, stream_answer
+from siskinlug.exchange import (
+    Answer,
+    RequestHead,
+    drop_header,
+    drop_hop_by_hop,
+    drop_prefix,
+    exchange,
+)
+from siskinlug.inbound import Inbound, send_answer, send_refusal, stream_answer
 from siskinlug.links import Links, link_up
 from siskinlug.load import LoadReport, decode_load
 from siskinlug.logs import log_event
@@ -63,6 +78,7 @@
 MIN_BASELINE_SAMPLES = 8
 ANSWER_GRACE_S = 0.2
 AVOID_S = 1.0
+MAX_KEY_CHARS = 256
 # A target behind a link whose last heartbeat failed is a last resort.
 LINK_DOWN_PENALTY_MS = 1000.0
 
@@ -77,6 +93,7 @@
     long_work: bool
     deadline: float
     fingerprint: str
+    key: str
     head: RequestHead
 
 
@@ -121,6 +138,7 @@
         monotonic: Callable[[], float],
         service_times: ServiceTimes,
         account_rates: AccountRates,
+        claims: Claims,
     ) -> None:
         self.directory = directory
         self.owner = owner
@@ -135,6 +153,7 @@
         self.monotonic = monotonic
         self.service_times = service_times
         self.account_rates = account_rates
+        self.claims = claims
         self.load_by_target: dict[str, tuple[LoadReport, float]] = {}
         self.budget_by_pool: dict[str, RetryBudget] = {}
         self.recent_by_route: dict[str, deque[float]] = {}
@@ -167,7 +186,7 @@
         else:
             request = matched.unwrap()
             route_name, pool_name = request.route.name, request.pool.name
-            refusal = await _run_attempts(entry, inbound, request, attempted)
+            refusal = await _run_once(entry, inbound, request, attempted)
         if refusal is not None:
             verdict, reason = refusal.verdict, refusal.reason.value
             await send_refusal(inbound, refusal, request_id=request_id)
@@ -238,7 +257,14 @@
         return Failure(refusal)
     # A small body is read whole first, so that a slow caller holds no slot.
     await inbound.body.wait_whole()
+    if _cannot_be_framed(inbound):
+        detail = f"a {head.method} with a large body needs a Content-Length"
+        return Failure(not_run(Reason.BAD_REQUEST, detail))
     key = head.headers.get("Idempotency-Key", "")
+    if len(key) > MAX_KEY_CHARS:
+        detail = f"Idempotency-Key is longer than {MAX_KEY_CHARS} characters"
+        return Failure(not_run(Reason.BAD_REQUEST, detail))
+    named = f"{account}:{key}" if key else ""
     return Success(
         Request(
             request_id=request_id,
@@ -248,7 +274,8 @@
             long_work=route.work == "long"
             or (route.work == "learned" and is_long(entry.service_times, route.name)),
             deadline=started_at + route.timeout_s,
-            fingerprint=fingerprint_of(key, head.method, head.path, inbound.body),
+            fingerprint=_fingerprint(named, inbound),
+            key=key,
             head=RequestHead(
                 head.method, head.path, _headers_for_target(inbound, request_id)
             ),
@@ -256,13 +283,33 @@
     )
 
 
+def _fingerprint(key: str, inbound: Inbound) -> str:
+    head = inbound.head
+    return fingerprint_of(
+        key,
+        head.method,
+        head.path,
+        inbound.body,
+        declared_length=head.headers.get("Content-Length", ""),
+    )
+
+
+def _cannot_be_framed(inbound: Inbound) -> bool:
+    """Whether the codec, which chunks only these methods, cannot send the body."""
+    return (
+        not inbound.body.whole
+        and "Content-Length" not in inbound.head.headers
+        and inbound.head.method not in ("POST", "PUT", "PATCH")
+    )
+
+
 def _headers_for_target(inbound: Inbound, request_id: str) -> HTTPHeaders:
-    headers = end_to_end(inbound.head.headers)
-    for name in [name for name in headers if name.startswith("Siskinlug-")]:
-        del headers[name]
+    """Turn the caller's headers, in place, into those for a target."""
+    headers = inbound.head.headers
+    drop_hop_by_hop(headers)
+    drop_prefix(headers, "Siskinlug-")
     # The entry itself answered 100-continue.
-    if "Expect" in headers:
-        del headers["Expect"]
+    drop_header(headers, "Expect")
     headers["X-Request-Id"] = request_id
     before = headers.get("X-Forwarded-For")
     headers["X-Forwarded-For"] = (
@@ -275,8 +322,74 @@
     return headers
 
 
-async def _run_attempts(
+async def _run_once(
     entry: Entry, inbound: Inbound, request: Request, attempted: list[Attempted]
+) -> Refusal | None:
+    """Run a request, under a claim of its idempotency key if it has one."""
+    if not request.key or request.route.idempotent:
+        return await _run_attempts(entry, inbound, request, attempted, KeptCopy(0))
+    claimed = await claim(
+        entry.claims,
+        key_digest(request.account, request.key),
+        _fingerprint("", inbound),
+        _new_id(entry),
+        request.route,
+    )
+    if isinstance(claimed, Failure):
+        return claimed.failure()
+    held = claimed.unwrap()
+    if held.answer is not None:
+        await _send_kept(inbound, held.answer, request.request_id)
+        return None
+    verdict = Verdict.MAY_HAVE_RUN
+    copy = KeptCopy(MAX_ANSWER_BYTES)
+    try:
+        refusal = await _run_attempts(entry, inbound, request, attempted, copy)
+        verdict = Verdict.RAN if refusal is None else refusal.verdict
+        return refusal
+    finally:
+        headers = list(copy.headers.get_all())
+        await settle(held, verdict, copy.status, headers, copy.whole_body())
+
+
+async def _send_kept(inbound: Inbound, kept: KeptAnswer, request_id: str) -> None:
+    headers = HTTPHeaders()
+    for name, value in kept["headers"]:
+        headers.add(name, value)
+    headers["X-Request-Id"] = request_id
+    headers["Idempotent-Replayed"] = "true"
+    await send_answer(inbound, kept["status"], headers, kept["body"])
+
+
+class KeptCopy:
+    """Copy of an answer on its way to the caller, if it is small enough to keep."""
+
+    def __init__(self, limit_bytes: int) -> None:
+        self.limit_bytes = limit_bytes
+        self.status = 0
+        self.headers = HTTPHeaders()
+        self._chunks: list[bytes] | None = []
+        self._size = 0
+
+    def add(self, chunk: bytes) -> None:
+        """Take a part of the body as it is passed on."""
+        self._size += len(chunk)
+        if self._chunks is not None:
+            self._chunks.append(chunk)
+            if self._size > self.limit_bytes:
+                self._chunks = None
+
+    def whole_body(self) -> bytes | None:
+        """Return the body, or ``None`` if it was too large."""
+        return None if self._chunks is None else b"".join(self._chunks)
+
+
+async def _run_attempts(
+    entry: Entry,
+    inbound: Inbound,
+    request: Request,
+    attempted: list[Attempted],
+    copy: KeptCopy,
 ) -> Refusal | None:
     """Try targets until one answers or a refusal is final.
 
@@ -294,7 +407,9 @@
         async with _open(entry, inbound, request, candidate) as result:
             if isinstance(result, Success):
                 attempted.append(Attempted(candidate.target, candidate.node, None))
-                await _pass_on(entry, inbound, request, candidate, result.unwrap())
+                await _pass_on(
+                    entry, inbound, request, candidate, result.unwrap(), copy
+                )
                 note_success(budget)
                 return None
             refusal = result.failure()
@@ -303,6 +418,9 @@
         entry.metrics.attempts.add(
             1, {"route": request.route.name, "outcome": refusal.reason.value}
         )
+        if inbound.body.too_large:
+            # A target may have begun to work on the part that it got.
+            return may_have_run(Reason.BODY_TOO_LARGE)
         if not _may_try_again(entry, inbound, request, refusal, attempted, budget):
             return refusal
         entry.metrics.retries.add(1, {"pool": request.pool.name})
@@ -478,11 +596,7 @@
     attempt: AttemptRequest,
     node: NodeRecord,
 ) -> AsyncIterator[Result[Answer, Refusal]]:
-    head = RequestHead(
-        request.head.method,
-        request.head.path,
-        attempt_headers(entry, attempt, request.head.headers),
-    )
+    add_attempt_headers(entry, attempt, request.head.headers)
     idle_s = IDLE_MAX_S if attempt.idempotent else NON_IDEMPOTENT_IDLE_MAX_S
     sent_at = entry.monotonic()
     left_s = max(0.0, request.deadline - sent_at)
@@ -496,7 +610,7 @@
             return
         async with exchange(
             connected.unwrap(),
-            head,
+            request.head,
             inbound.body,
             first_byte_s=left_s,
             check_after_s=first_byte_bound_s(entry.paths, attempt.route, left_s),
@@ -529,25 +643,26 @@
     return False
 
 
-def attempt_headers(
+def add_attempt_headers(
     entry: Entry, attempt: AttemptRequest, headers: HTTPHeaders
-) -> HTTPHeaders:
-    """Return the headers of an attempt on its way to another node."""
-    copy = headers.copy()
+) -> None:
+    """Set the headers of an attempt on its way to another node."""
     left_ms = int((attempt.deadline - entry.monotonic()) * 1000)
-    copy["Siskinlug-Token"] = entry.token
-    copy["Siskinlug-Attempt"] = attempt.attempt
-    copy["Siskinlug-Target"] = attempt.target
-    copy["Siskinlug-Route"] = attempt.route
-    copy["Siskinlug-Account"] = attempt.account
-    copy["Siskinlug-Priority"] = str(attempt.priority)
-    copy["Siskinlug-Work"] = "long" if attempt.long_work else "short"
-    copy["Siskinlug-Idempotent"] = "yes" if attempt.idempotent else "no"
-    copy["Siskinlug-Deadline-Ms"] = str(max(0, left_ms))
-    copy["Siskinlug-Fingerprint"] = attempt.fingerprint
+    headers["Siskinlug-Token"] = entry.token
+    headers["Siskinlug-Attempt"] = attempt.attempt
+    headers["Siskinlug-Target"] = attempt.target
+    headers["Siskinlug-Route"] = attempt.route
+    headers["Siskinlug-Account"] = attempt.account
+    headers["Siskinlug-Priority"] = str(attempt.priority)
+    headers["Siskinlug-Work"] = "long" if attempt.long_work else "short"
+    headers["Siskinlug-Idempotent"] = "yes" if attempt.idempotent else "no"
+    headers["Siskinlug-Deadline-Ms"] = str(max(0, left_ms))
+    headers["Siskinlug-Fingerprint"] = attempt.fingerprint
     if attempt.baseline_s is not None:
-        copy["Siskinlug-Baseline-Ms"] = f"{attempt.baseline_s * 1000:.2f}"
-    return copy
+        headers["Siskinlug-Baseline-Ms"] = f"{attempt.baseline_s * 1000:.2f}"
+    else:
+        # A retry may carry that of an earlier attempt.
+        drop_header(headers, "Siskinlug-Baseline-Ms")
 
 
 def _answer_or_refusal(entry: Entry, answer: Answer) -> Result[Answer, Refusal]:
@@ -588,15 +703,20 @@
     request: Request,
     candidate: Candidate,
     answer: Answer,
+    copy: KeptCopy,
 ) -> None:
     """Pass an answer on and learn its service time."""
-    for name in [name for name in answer.headers if name.startswith("Siskinlug-")]:
-        if name == "Siskinlug-Service-Ms":
-            _learn(entry, request.route, answer.headers[name])
-        del answer.headers[name]
-    extra = HTTPHeaders({"Siskinlug-Served-By": candidate.target})
-    extra["X-Request-Id"] = request.request_id
-    await stream_answer(inbound, answer, extra)
+    headers = answer.headers
+    _learn(entry, request.route, headers.get("Siskinlug-Service-Ms", ""))
+    drop_prefix(headers, "Siskinlug-")
+    drop_hop_by_hop(headers)
+    if copy.limit_bytes:
+        copy.status, copy.headers = answer.status, headers.copy()
+    extra = {
+        "Siskinlug-Served-By": candidate.target,
+        "X-Request-Id": request.request_id,
+    }
+    await stream_answer(inbound, answer, extra, observe=copy.add)
     entry.metrics.attempts.add(
         1, {"route": request.route.name, "outcome": f"{answer.status // 100}xx"}
     )
