--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -257,7 +257,7 @@
 
     def test_long_work_finishes_beside_overload_of_short_work(self) -> None:
         """Guards against a reserve that starves long work."""
-        jobs = [Job(i * 0.005, 0.02) for i in range(600)]
+        jobs = [Job(i * 0.005, 0.02) for i in range(1200)]
         jobs += [Job(0.5 + i, 0.5, long_work=True) for i in range(2)]
         _, outcomes = _play(jobs, slots=2, queue=8)
         self.assertThat(outcomes[-2:], Equals(["ran", "ran"]))
@@ -294,6 +294,50 @@
 
         self.assertThat(run_virtual(main()), Equals((3, 6)))
 
+    def test_short_work_keeps_a_slot_below_a_lowered_limit(self) -> None:
+        """Guards against long work left with all slots after the target shed."""
+        jobs = [Job(0, 5.0, long_work=True)] * 3
+        jobs += [Job(0.1, 0.01, shed=True), Job(0.15, 0.01, shed=True), Job(0.2, 0.01)]
+        load, outcomes = _play(jobs, slots=4)
+        self.assertThat(load.admission.limit_now, LessThan(3))
+        self.assertThat(outcomes[-1], Equals("ran"))
+        self.assertThat(load.blocked_short, Equals(False))
+
+    def test_a_cancelled_ticket_frees_its_queue_place(self) -> None:
+        """Guards against a queue full of tickets whose callers went away."""
+        jobs = [Job(service_s=1.0), Job(0.1, cancel_after_s=0.1), Job(0.3)]
+        _, outcomes = _play(jobs, slots=1, queue=1)
+        self.assertThat(outcomes, Equals(["ran", "cancelled", "ran"]))
+
+    def test_a_slot_granted_to_a_cancelled_ticket_is_freed(self) -> None:
+        """Guards against a slot lost when grant and cancel fall in one loop turn."""
+
+        async def main() -> int:
+            admission = _admission(slots=1)
+            holder = Ticket("0", "r", "a", 5, False, 60.0)
+            load = Load(admission)
+            async with open_slot(admission, holder) as held:
+                waiting = asyncio.create_task(load._job(1, Job()))
+                await asyncio.sleep(0.01)
+                held.unwrap().release()
+                waiting.cancel()
+                await asyncio.gather(waiting, return_exceptions=True)
+            return admission.in_use
+
+        self.assertThat(run_virtual(main()), Equals(0))
+
+    def test_a_slot_is_given_back_once(self) -> None:
+        """Guards against a slot counted free twice by an early release."""
+
+        async def main() -> int:
+            admission = _admission(slots=2)
+            ticket = Ticket("0", "r", "a", 5, False, 60.0)
+            async with open_slot(admission, ticket) as held:
+                held.unwrap().release()
+            return admission.in_use
+
+        self.assertThat(run_virtual(main()), Equals(0))
+
     def test_closing_refuses_the_queue_and_keeps_what_runs(self) -> None:
         """Guards against a planned stop that interrupts or strands a request."""
 
--- a/tests/test_load_rules.py
+++ b/tests/test_load_rules.py
@@ -243,7 +243,7 @@
     def test_a_rare_slow_answer_does_not_make_a_route_long(self) -> None:
         """Guards against a mean, which one answer in fifty would raise tenfold."""
         times = make_service_times(monotonic=_clock)
-        for i in range(500):
+        for i in range(501):
             observe(times, "short", 10.0 if i % 50 == 0 else 0.02)
             if i % 20 == 0:
                 observe(times, "long", 2.0)
