Take silence as evidence only past the usual time, and see it early

The owner counted any request without an answer at its deadline as a hard failure, also one that had left the queue milliseconds before. At a demand peak that is evidence against healthy targets. Silence now counts past ten usual times of the route (at least 0.2 s; 2 s while unknown), and a probe that fails then counts it at once instead of at the deadline. A connection that times out because the deadline was near is no evidence either.

--- a/siskinlug/evidence.py
+++ b/siskinlug/evidence.py
@@ -43,6 +43,8 @@
 # lognormal times with p99 at 6.4 medians 0.2 % pass it.
 _SILENCE_FACTOR = 10.0
 _SILENCE_MIN_S = 0.2
+# A target that has not answered yet may be starting.
+_SILENCE_UNKNOWN_S = 2.0
 
 
 class Outcome(NamedTuple):
@@ -227,18 +229,18 @@
     return 0 if scope is None else scope.count
 
 
-def silence_bound_s(evidence: Evidence, route: str) -> float | None:
+def silence_bound_s(evidence: Evidence, route: str) -> float:
     """Return after how long without a first byte a target may be silent.
 
     A request that ends without a first byte before this time, such as one whose
     deadline was near when it left the queue, says nothing of the target.
 
     Returns:
-        The time in seconds, or ``None`` while the usual time is unknown.
+        The time in seconds; 2 s while the usual time is unknown.
     """
     usual = evidence.usual_log_s_by_route.get(route)
     if usual is None:
-        return None
+        return _SILENCE_UNKNOWN_S
     return max(_SILENCE_FACTOR * math.exp(min(usual, 20.0)), _SILENCE_MIN_S)
 
 
--- a/siskinlug/owner.py
+++ b/siskinlug/owner.py
@@ -30,6 +30,7 @@
     has_length,
 )
 from siskinlug.load import LoadReport
+from siskinlug.probes import Silence, probe, watch_silence
 from siskinlug.quarantine import (
     CLEAR,
     REFUSED,
@@ -277,7 +278,9 @@
     ) as connected:
         if isinstance(connected, Failure):
             slot.finish(status=None, service_s=0.0, shed=False)
-            _observe(owner, request, owned, ok=False, hard=True, service_s=0.0)
+            # With the deadline near, the time to connect ends too early to tell.
+            if left_s >= 1.0 or connected.failure().cause != "timeout":
+                _observe(owner, request, owned, ok=False, hard=True, service_s=0.0)
             note_incarnation(owner, request.target, None)
             detail = f"{request.target}: {connected.failure().cause}"
             yield Failure(not_run(Reason.TARGET_UNREACHABLE, detail))
@@ -292,23 +295,29 @@
             connection.reusable = True
             yield Failure(not_run(Reason.CANCELLED, "cancelled by its entry"))
             return
-        async with _exchange(owner, request, connection, head, body) as result:
-            if isinstance(result, Failure):
-                yield Failure(_lost(owner, request, owned, slot, result.failure()))
-                return
-            answer = result.unwrap()
-            if answer.status == 503 and answer.headers.get(SHED_HEADER):
-                slot.finish(status=503, service_s=0.0, shed=True)
-                yield Failure(not_run(Reason.TARGET_SHED, request.target))
-                return
-            # Time to the head: the rest may wait for a slow caller.
-            service_s = owner.monotonic() - started_at
-            answer.headers["Siskinlug-Service-Ms"] = f"{service_s * 1000:.2f}"
-            try:
-                yield Success(answer)
-            finally:
-                if answer.body.whole or answer.body.cut:
-                    _note_answered(owner, request, owned, slot, answer, service_s)
+        with watch_silence(
+            owned.evidence, request.route, probe=partial(_probe, owner, owned)
+        ) as silence:
+            async with _exchange(owner, request, connection, head, body) as result:
+                silence.waiting = False
+                if isinstance(result, Failure):
+                    yield Failure(
+                        _lost(owner, request, owned, slot, result.failure(), silence)
+                    )
+                    return
+                answer = result.unwrap()
+                if answer.status == 503 and answer.headers.get(SHED_HEADER):
+                    slot.finish(status=503, service_s=0.0, shed=True)
+                    yield Failure(not_run(Reason.TARGET_SHED, request.target))
+                    return
+                # Time to the head: the rest may wait for a slow caller.
+                service_s = owner.monotonic() - started_at
+                answer.headers["Siskinlug-Service-Ms"] = f"{service_s * 1000:.2f}"
+                try:
+                    yield Success(answer)
+                finally:
+                    if answer.body.whole or answer.body.cut:
+                        _note_answered(owner, request, owned, slot, answer, service_s)
 
 
 def _note_answered(
@@ -369,11 +378,16 @@
     owned: Owned,
     slot: Slot,
     failure: ExchangeFailure,
+    silence: Silence,
 ) -> Refusal:
     """Record an exchange without an answer and return its refusal."""
     late = owner.monotonic() >= request.deadline
     slot.finish(status=None, service_s=0.0, shed=False)
-    if failure.cause != "body_cut":
+    tells = failure.cause != "body_cut"
+    if failure.cause == "silent":
+        # A request whose deadline was near when it left the queue tells nothing.
+        tells = silence.passed_bound() and not silence.observed
+    if tells:
         _observe(owner, request, owned, ok=False, hard=True, service_s=0.0)
     if failure.cause == "reset":
         _note_possible_crash(owner, request, owned)
@@ -383,6 +397,17 @@
     return may_have_run(reason, f"{request.target}: {failure.cause}")
 
 
+async def _probe(owner: Owner, owned: Owned) -> bool:
+    announcement = owned.announcement
+    result = await probe(
+        owner.connections,
+        (announcement["host"], announcement["port"]),
+        announcement.get("probe_path", "/health"),
+        monotonic=owner.monotonic,
+    )
+    return isinstance(result, Success)
+
+
 def _observe(
     owner: Owner,
     request: AttemptRequest,
--- a/siskinlug/probes.py
+++ b/siskinlug/probes.py
@@ -70,12 +70,18 @@
 class Silence:
     """A request that waits for its first byte."""
 
-    def __init__(self) -> None:
+    def __init__(self, bound_s: float) -> None:
         self.waiting = True
         self.observed = False
-        self.bound_s: float | None = None
+        self.bound_s = bound_s
+        self.started = asyncio.get_running_loop().time()
         self.task: asyncio.Future[None] | None = None
 
+    def passed_bound(self) -> bool:
+        """Whether the request has waited long enough to tell of the target."""
+        waited_s = asyncio.get_running_loop().time() - self.started
+        return waited_s >= self.bound_s
+
 
 @contextmanager
 def watch_silence(
@@ -95,8 +101,7 @@
         The state; if ``observed`` is set, the request's end must not be observed
         again. Set ``waiting`` to false when the first byte arrives.
     """
-    silence = Silence()
-    silence.bound_s = silence_bound_s(evidence, route)
+    silence = Silence(silence_bound_s(evidence, route))
 
     async def check() -> None:
         if not await probe() and silence.waiting:
@@ -107,14 +112,11 @@
         if silence.waiting:
             silence.task = asyncio.ensure_future(check())
 
-    timer = None
-    if silence.bound_s is not None:
-        timer = asyncio.get_running_loop().call_later(silence.bound_s, start)
+    timer = asyncio.get_running_loop().call_later(silence.bound_s, start)
     try:
         yield silence
     finally:
         silence.waiting = False
-        if timer is not None:
-            timer.cancel()
+        timer.cancel()
         if silence.task is not None:
             silence.task.cancel()
