--- a/siskinlug/owner.py
+++ b/siskinlug/owner.py
@@ -13,6 +13,7 @@
 from siskinlug.attempts import Attempts, begin, finish, mark_started
 from siskinlug.body import BodyStream
 from siskinlug.connections import (
+    CONNECT_TIMEOUT_S,
     IDLE_MAX_S,
     NON_IDEMPOTENT_IDLE_MAX_S,
     Connection,
@@ -274,15 +275,19 @@
     """Open a connection to the target and start the attempt on it."""
     owner, request = run.owner, run.request
     announcement = run.owned.announcement
+    left_s = request.deadline - owner.monotonic()
     async with open_connection(
         owner.connections,
         (announcement["host"], announcement["port"]),
         max_idle_s=IDLE_MAX_S if request.idempotent else NON_IDEMPOTENT_IDLE_MAX_S,
-        timeout_s=min(1.0, request.deadline - owner.monotonic()),
+        timeout_s=min(CONNECT_TIMEOUT_S, left_s),
     ) as connected:
         if isinstance(connected, Failure):
             run.slot.finish(status=None, service_s=0.0, shed=False)
-            _observe(run, ok=False, hard=True)
+            timed_out = connected.failure().cause == "timeout"
+            # With the deadline near, the time to connect ends too early to tell.
+            if not timed_out or left_s >= CONNECT_TIMEOUT_S:
+                _observe(run, ok=False, hard=True)
             note_incarnation(owner, request.target, None)
             detail = f"{request.target}: {connected.failure().cause}"
             yield Failure(not_run(Reason.TARGET_UNREACHABLE, detail))
@@ -392,7 +397,9 @@
     """Record an exchange without an answer and return its refusal."""
     late = run.owner.monotonic() >= run.request.deadline
     run.slot.finish(status=None, service_s=0.0, shed=False)
-    if failure.cause != "body_cut" and not silence.observed:
+    # A request whose deadline was near when it left the queue tells nothing.
+    too_short = failure.cause == "silent" and not silence.passed_bound()
+    if failure.cause != "body_cut" and not silence.observed and not too_short:
         # A target may close a kept connection just as it is used again.
         hard = failure.cause != "reset" or not connection.reused
         _observe(run, ok=False, hard=hard)
