Keep table searches and long shuffles out of each renewal and tick

Each target's ejection looked through all pools ten times a second, and each renewal formatted and shuffled the addresses of all nodes to name three. The status is now read only when a scope is alarmed, and the three are drawn.

--- a/bench/capacity_peers.py
+++ b/bench/capacity_peers.py
@@ -118,12 +118,18 @@
         )
 
     async def call(
-        self, address: Address, path: str, message: Any, answer_type: Any
+        self,
+        address: Address,
+        path: str,
+        message: Any,
+        answer_type: Any,
+        *,
+        fresh: bool = True,
     ) -> Any:
         """Call the daemon over a new connection, as most calls of a fleet do."""
         self.calls[path] += 1
         result = await call_peer(
-            self.client, address, path, message, answer_type, timeout_s=3.0, fresh=True
+            self.client, address, path, message, answer_type, timeout_s=3.0, fresh=fresh
         )
         if not isinstance(result, Success):
             raise RuntimeError(f"{path}: {result.failure()}")
--- a/siskinlug/ejection.py
+++ b/siskinlug/ejection.py
@@ -348,8 +348,6 @@
 def _alarmed_scopes(ejection: Ejection) -> list[str]:
     """Scopes for which the target should be ejected, all routes before any."""
     now = ejection.monotonic()
-    if not ejection.status().ready:
-        return []
     sickness_by_scope = judge(ejection.evidence)
     alarmed = [
         scope
@@ -358,7 +356,8 @@
         and now >= ejection.retry_by_scope.get(scope, 0.0)
         and _suspected(sickness)
     ]
-    if ALL_ROUTES in ejection.busy:
+    # The status searches all pools, too much for ten times a second without need.
+    if not alarmed or ALL_ROUTES in ejection.busy or not ejection.status().ready:
         return []
     return [ALL_ROUTES] if ALL_ROUTES in alarmed else alarmed
 
--- a/siskinlug/node.py
+++ b/siskinlug/node.py
@@ -317,13 +317,10 @@
 
 
 def _announce(node: Node, message: Announcement) -> AnnouncementAnswer:
-    alternatives = [
-        f"{peer.host}:{peer.peer_port}"
-        for peer in node.membership.others()
-        if peer.state == "alive"
-    ]
-    node.random.shuffle(alternatives)
-    alternatives = alternatives[:ALTERNATIVES]
+    alive = [peer for peer in node.membership.others() if peer.state == "alive"]
+    # Targets renew each second, so only the few that are named are drawn.
+    drawn = node.random.sample(alive, min(ALTERNATIVES, len(alive)))
+    alternatives = [f"{peer.host}:{peer.peer_port}" for peer in drawn]
     if node.owner.leaving:
         # A lease of 0 sends the target to another node at once.
         return AnnouncementAnswer(
