--- a/Makefile
+++ b/Makefile
@@ -10,6 +10,7 @@
 $(VENV)/.ready: requirements.lock
 	python3.11 -m venv $(VENV)
 	$(PYTHON) -m pip install -q -r requirements.lock
+	$(PYTHON) -m pip install -q --no-deps -e .
 	touch $@
 
 run: venv
--- a/bench/run_demo.py
+++ b/bench/run_demo.py
@@ -1,9 +1,12 @@
 """``make run``: a small fleet as separate processes, served requests, a clean stop."""
 
+import argparse
+import signal
 import subprocess
 import sys
 import time
 from collections import Counter
+from contextlib import suppress
 from pathlib import Path
 
 from rich.console import Console
@@ -93,8 +96,34 @@
     console.print(f"{sum(served.values())} requests over {len(served)} targets")
 
 
+def _stay(fleet: Fleet, console: Console) -> None:
+    """Print how to reach the fleet and keep it up until interrupted."""
+    console.print(f"export PATH={ROOT / '.venv' / 'bin'}:$PATH", soft_wrap=True)
+    console.print(
+        f"export SISKINLUG_LOG={fleet.log_url} "
+        f"SISKINLUG_NODE=http://{fleet.host(1)}:{ADMIN_PORT}",
+        soft_wrap=True,
+    )
+    table = Table("process", "process id", "callers")
+    for name, process in fleet.process_by_name.items():
+        number = name.removeprefix("node-")
+        address = ""
+        if number.isdecimal():
+            address = f"http://{fleet.host(int(number))}:{CALLER_PORT}"
+        table.add_row(name, str(process.popen.pid if process.popen else ""), address)
+    console.print(table)
+    console.print("Ctrl-C stops all of them.")
+    with suppress(KeyboardInterrupt):
+        signal.pause()
+
+
 def main() -> int:
     """Run the demo; returns 0 when every step succeeded."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument(
+        "--stay", action="store_true", help="keep the fleet up until interrupted"
+    )
+    options = parser.parse_args()
     console = Console(width=110)
     with open_fleet(ROOT / "run") as fleet:
         console.print(f"starting 1 log, {NODES} daemons, {NODES * 3} targets")
@@ -104,6 +133,9 @@
             console.print(publish(fleet, name, TABLES / f"{name}.ini"))
         fleet.wait_versions(routes=1, pools=1)
         _send_requests(fleet, console)
+        if options.stay:
+            _stay(fleet, console)
+            return 0
         lost = fleet.process_by_name["node-2"]
         console.print("kill -9 node-2, then the same requests again")
         lost.kill()
