Try links that are down again after 2 s

The entry avoids a link that is down, and a link was tried again only at the peer's next turn: 7 min at 430 nodes. Up to 4 such links to nodes that are not dead are now tried each second, longest failed first.

The new test fails with no rechecks.

--- a/siskinlug/links.py
+++ b/siskinlug/links.py
@@ -34,6 +34,14 @@
         self.monotonic = monotonic
         self.state_by_node: dict[str, LinkState] = {}
         self.last_success: float | None = None
+        self.down: set[str] = set()
+
+    def down_since_before(self, moment: float) -> list[str]:
+        """Return the nodes whose last failure precedes a moment, oldest first."""
+        failures = (
+            (self.state_by_node[node].last_failure or 0.0, node) for node in self.down
+        )
+        return [node for failure, node in sorted(failures) if failure < moment]
 
 
 def make_links(*, monotonic: Callable[[], float]) -> Links:
@@ -56,6 +64,7 @@
     was_down = state.up is False
     state.last_success = links.last_success = links.monotonic()
     state.failures_in_row = 0
+    links.down.discard(node)
     if state.round_trip_s is None:
         state.round_trip_s = round_trip_s
     else:
@@ -73,6 +82,7 @@
     was_down = state.up is False
     state.last_failure = links.monotonic()
     state.failures_in_row += 1
+    links.down.add(node)
     return not was_down
 
 
@@ -85,3 +95,4 @@
 def forget_link(links: Links, node: str) -> None:
     """Drop the state of a link, as when the node was replaced."""
     links.state_by_node.pop(node, None)
+    links.down.discard(node)
--- a/siskinlug/membership.py
+++ b/siskinlug/membership.py
@@ -8,6 +8,7 @@
 import asyncio
 import math
 from collections.abc import Awaitable, Callable, Coroutine, Iterable, Mapping, Sequence
+from itertools import islice
 from random import Random
 from typing import Any, NamedTuple, Protocol
 
@@ -50,6 +51,10 @@
 
 PING_INTERVAL_S = 1.0
 PING_TIMEOUT_S = 0.5
+# Links that are down are tried again after this time, a few in each interval; their
+# next turn in the list would come only after 7 min at 430 nodes.
+LINK_RECHECK_S = 2.0
+LINK_RECHECKS = 4
 HELPERS = 3
 PING_THROUGH_TIMEOUT_S = 1.0
 SUSPICION_S = 3.0
@@ -454,11 +459,22 @@
         peer = _next_peer(membership)
         if peer is not None:
             _start(membership, _check(membership, peer))
+        for peer in _down_peers(membership):
+            _start(membership, _ping(membership, peer, fresh=True))
         _forget_dead(membership)
         _notice_own_change(membership)
         await membership.sleep(interval)
 
 
+def _down_peers(membership: Membership) -> list[NodeRecord]:
+    """Return some peers that are not dead and whose links wait to be tried again."""
+    before = membership.monotonic() - LINK_RECHECK_S
+    known = membership.directory.record_by_node
+    peers = (known.get(node) for node in membership.links.down_since_before(before))
+    down = (peer for peer in peers if peer is not None and peer.state != "dead")
+    return list(islice(down, LINK_RECHECKS))
+
+
 def _next_peer(membership: Membership) -> NodeRecord | None:
     for _ in range(2):
         while membership.queue:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -15,7 +15,7 @@
 from bench.virtual_time import run_virtual
 from siskinlug.connections import Address
 from siskinlug.directory import NodeRecord
-from siskinlug.links import link_up
+from siskinlug.links import link_up, note_failure
 from siskinlug.membership import (
     FORGET_S,
     PUSH,
@@ -175,6 +175,20 @@
 
         self._run(3, scenario)
 
+    def test_a_link_that_failed_once_is_tried_again_soon(self) -> None:
+        """Guards against a peer that is avoided until its next turn, 7 min later."""
+
+        async def scenario(network: FakeNetwork, records: list[NodeRecord]) -> None:
+            links = network.node_by_name[records[0].node].membership.links
+            lost = [record.node for record in records[1:9]]
+            for node in lost:
+                note_failure(links, node)
+            await asyncio.sleep(6)
+            up = [link_up(links, node) for node in lost]
+            self.assertThat(up, Equals([True] * len(lost)))
+
+        self._run(40, scenario)
+
     def test_an_isolated_node_declares_no_one_dead(self) -> None:
         """Guards against one node that sends the whole fleet into refutations."""
 
