--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -7,11 +7,12 @@
 machine disturbs it little.
 """
 
+import argparse
 import asyncio
 import os
 import time
 from collections import Counter
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from contextlib import AsyncExitStack, suppress
 from pathlib import Path
 from random import Random
@@ -22,11 +23,14 @@
 from tornado.httputil import HTTPHeaders
 
 from bench.capacity_memory import libraries_mb, measure_memory
+from bench.capacity_model import poll_interval_s
 from bench.capacity_peers import Peers, Relay, open_relay
 from bench.capacity_size import (
     FRACTIONS,
     PEER_PORT,
+    RESULTS,
     Size,
+    load_results,
     make_records,
     path_of,
     pools_text,
@@ -36,7 +40,13 @@
 )
 from bench.fleet import CALLER_PORT, TOKEN, Fleet, NodeSpec, Process, open_fleet
 from siskinlug.body import bytes_body
-from siskinlug.configuration import EMPTY_STATE, fold, publish_record, snapshot_record, tables_of
+from siskinlug.configuration import (
+    EMPTY_STATE,
+    fold,
+    publish_record,
+    snapshot_record,
+    tables_of,
+)
 from siskinlug.connections import Address, make_pool, open_connection
 from siskinlug.exchange import RequestHead, exchange
 from siskinlug.messages import Announcement, AnnouncementAnswer
@@ -80,14 +90,14 @@
     return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
 
 
-def fit(points: list[tuple[float, float]]) -> dict[str, float]:
+def fit(points: Sequence[Sequence[float]]) -> dict[str, float]:
     """Fit a line; the residual is the largest one as a share of the largest value."""
     slope, base = linear_regression(*zip(*points, strict=True))
     worst = max(abs(base + slope * x - y) for x, y in points)
     return {
         "base": base,
         "slope": slope,
-        "residual": worst / max(abs(y) for _, y in points),
+        "residual": worst / max(abs(point[1]) for point in points),
     }
 
 
@@ -258,7 +268,8 @@
             await self.peers.push(self.address, [record], position=False)
             await asyncio.sleep(0.04)
 
-    async def requests(self, port: int, head_of: Callable[[int], RequestHead]
+    async def requests(
+        self, port: int, head_of: Callable[[int], RequestHead]
     ) -> dict[str, int]:
         """Send requests at the usual rate; returns counts of other answers than 200."""
         failed: Counter[str] = Counter()
@@ -422,9 +433,7 @@
         # Between two rates of renewal, so that the watch of own targets cancels out;
         # one heartbeat a second more is sent at the lower rate.
         fast, slow = at["renewals"], owning
-        renewal_s = (
-            fast["cpu_s"] / fast["seconds"] - (rest_share - ping_s)
-        ) / (
+        renewal_s = (fast["cpu_s"] / fast["seconds"] - (rest_share - ping_s)) / (
             fast["calls"]["/announce"] / fast["seconds"]
             - slow["calls"]["/announce"] / slow["seconds"]
         )
@@ -458,6 +467,9 @@
                 "heartbeat_cpu_ms": ping_s * 1000,
                 "renewal_cpu_ms": renewal_s * 1000,
                 "watch_cpu_percent": 100 * watch_share,
+                "rest_alone_cpu_percent": 100 * rest["cpu_s"] / rest["seconds"],
+                "log_reads_s": 1 / poll_interval_s(at["nodes"]),
+                "rss_changed_mb": at["changes"][-1]["rss_mb"],
                 "rest_cpu_percent": 100 * rest_share,
                 "rest_peer_bytes_s": peer / owning["seconds"],
                 "rest_announce_bytes_s": announce / owning["seconds"],
@@ -476,9 +488,7 @@
                 * (records["cpu_s"] - rest["cpu_s"] / rest["seconds"] * BURST_S)
                 / RECORD_CHANGES,
                 "entry_cpu_ms": 1000
-                * (
-                    at["entry"]["cpu_s"] - rest_share * at["entry"]["seconds"]
-                )
+                * (at["entry"]["cpu_s"] - rest_share * at["entry"]["seconds"])
                 / REQUESTS,
                 "owner_cpu_ms": 1000
                 * (at["owner"]["cpu_s"] - rest_share * at["owner"]["seconds"])
@@ -506,6 +516,8 @@
     "heartbeat_cpu_ms": "nodes",
     "renewal_cpu_ms": "nodes",
     "watch_cpu_percent": "nodes",
+    "rest_alone_cpu_percent": "log_reads_s",
+    "rss_changed_mb": "nodes",
     "rest_cpu_percent": "nodes",
     "rest_peer_bytes_s": "nodes",
     "change_cpu_ms": "routes",
@@ -540,35 +552,44 @@
     return sizes, await memory, bare
 
 
-def main() -> None:
-    """Measure, print the fits and write the file."""
-    started = time.monotonic()
-    sizes, memory, bare = asyncio.run(_measure())
-    rows = derive(sizes)
+def _save(
+    daemon: dict[str, Any], memory: dict[str, list[list[int]]], path: Path = RESULTS
+) -> None:
+    rows = derive(daemon["sizes"])
     fits = fits_of(rows)
-    save_results(
-        "daemon",
-        {
-            "run_s": time.monotonic() - started,
-            "libraries_mb": bare,
-            "load_average": os.getloadavg()[0],
-            "sizes": sizes,
-            "rows": rows,
-            "fits": fits,
-        },
-    )
-    points = {
-        kind: [(float(x), float(y)) for x, y in pairs] for kind, pairs in memory.items()
-    }
+    save_results("daemon", {**daemon, "rows": rows, "fits": fits}, path)
+    memory_fits = {kind: fit(pairs) for kind, pairs in memory.items()}
     save_results(
         "memory",
-        {k: {"points": memory[k], "fit": fit(pairs)} for k, pairs in points.items()},
+        {k: {"points": memory[k], "fit": memory_fits[k]} for k in memory},
+        path,
     )
     for name, fitted in fits.items():
         print(f"{name}: {fitted}")
-    for kind, pairs in points.items():
-        print(f"bytes of a {kind}: {fit(pairs)}")
-    print("written to docs/capacity.json")
+    for kind, fitted in memory_fits.items():
+        print(f"bytes of a {kind}: {fitted}")
+
+
+def main() -> None:
+    """Measure, print the fits and write the file."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument(
+        "--derive", action="store_true", help="only fit the recorded figures again"
+    )
+    if parser.parse_args().derive:
+        results = load_results()
+        memory = {kind: held["points"] for kind, held in results["memory"].items()}
+        _save(results["daemon"], memory)
+        return
+    started = time.monotonic()
+    sizes, memory, bare = asyncio.run(_measure())
+    daemon = {
+        "run_s": time.monotonic() - started,
+        "libraries_mb": bare,
+        "load_average": os.getloadavg()[0],
+        "sizes": sizes,
+    }
+    _save(daemon, memory)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/bench/capacity_daemon.py
@@ -0,0 +1,52 @@
+"""The daemon with a file that shows its traffic, for the fleet check.
+
+``python -m bench.capacity_daemon --config FILE --traffic FILE``
+"""
+
+import argparse
+import asyncio
+import sys
+from contextlib import suppress
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from siskinlug import daemon
+from siskinlug.node import Node, make_node
+
+WRITE_INTERVAL_S = 1.0
+
+
+async def _write_traffic(node: Node, path: Path) -> None:
+    while True:
+        traffic = node.peer_client.traffic
+        figures = {
+            "sent": dict(traffic.sent_by_kind),
+            "received": dict(traffic.received_by_kind),
+        }
+        path.write_bytes(msgspec.json.encode(figures))
+        await asyncio.sleep(WRITE_INTERVAL_S)
+
+
+def main() -> int:
+    """Run the daemon and write what its calls to peers sent and received."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--config", type=Path, required=True)
+    parser.add_argument("--traffic", type=Path, required=True)
+    options = parser.parse_args()
+    tasks: list[asyncio.Task[None]] = []
+
+    def make_counted(*args: Any, **named: Any) -> Node:
+        node = make_node(*args, **named)
+        tasks.append(asyncio.create_task(_write_traffic(node, options.traffic)))
+        return node
+
+    daemon.make_node = make_counted
+    with suppress(KeyboardInterrupt):
+        return daemon.main(["--config", str(options.config)])
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/bench/capacity_fleet.py
@@ -0,0 +1,192 @@
+"""Whether one daemon's slopes predict small fleets, for ``docs/CAPACITY.md``.
+
+``python -m bench.capacity_fleet`` starts fleets of real daemons with tables of the
+two-year size, after ``python -m bench.capacity``. Measured and predicted figures go
+to ``docs/capacity.json``.
+"""
+
+import argparse
+import asyncio
+import os
+import time
+from pathlib import Path
+from statistics import fmean
+from typing import Any
+
+import msgspec
+
+from bench.capacity import cpu_s, resident_mb
+from bench.capacity_model import (
+    resident_mb as predicted_mb,
+)
+from bench.capacity_model import rest_bytes_s, rest_cpu_percent, spread_s
+from bench.capacity_size import (
+    DOMAINS,
+    ROUTES,
+    load_results,
+    pools_text,
+    routes_text,
+    save_results,
+    size_of,
+)
+from bench.fleet import Fleet, NodeSpec, open_fleet
+from siskinlug.log_client import open_log
+from siskinlug.publishing import publish
+
+SIZES = (8, 24, 48)
+REST_S = 10.0
+SETTLE_S = 5.0
+CHANGES = 5
+CHANGE_S = 4.0
+
+
+def _start(fleet: Fleet, count: int) -> None:
+    seeds = (1, 2, 3)
+    for number in range(1, count + 1):
+        node = NodeSpec(number, f"domain-{number % DOMAINS}")
+        path = fleet.folder / f"{node.name}.ini"
+        path.write_text(fleet.settings_text(node, seeds))
+        fleet.nodes.append(node)
+        fleet.start(
+            node.name,
+            [
+                "-m",
+                "bench.capacity_daemon",
+                "--config",
+                str(path),
+                "--traffic",
+                str(_traffic_path(fleet, node)),
+            ],
+        )
+
+
+def _traffic_path(fleet: Fleet, node: NodeSpec) -> Path:
+    return fleet.folder / f"{node.name}.traffic"
+
+
+def _pids(fleet: Fleet) -> list[int]:
+    pids = []
+    for node in fleet.nodes:
+        popen = fleet.process_by_name[node.name].popen
+        assert popen is not None
+        pids.append(popen.pid)
+    return pids
+
+
+def _bytes(fleet: Fleet) -> int:
+    """Return all bytes of calls between nodes, each counted by its caller."""
+    total = 0
+    for node in fleet.nodes:
+        figures = msgspec.json.decode(_traffic_path(fleet, node).read_bytes())
+        total += sum(figures["sent"].values()) + sum(figures["received"].values())
+    return total
+
+
+def _publish(fleet: Fleet, table: str, text: str, *, base: int) -> float:
+    """Publish a table; returns the wall clock just before its record was written."""
+
+    async def run() -> float:
+        log = open_log(fleet.log_url)
+        before = time.time()
+        outcome = await publish(
+            log, table, text, change=f"{table}-{base}", base=base, operator="bench"
+        )
+        if outcome.kind != "accepted":
+            raise RuntimeError(str(outcome))
+        page = (await log.read("configuration", 0, limit=1000)).unwrap()
+        ours = [
+            r.record["at_ms"]
+            for r in page.records
+            if r.record.get("id") == f"{table}-{base}"
+        ]
+        log.close()
+        return ours[0] / 1000 if ours else before
+
+    return asyncio.run(run())
+
+
+def _in_force_s(fleet: Fleet, version: int, published: float) -> list[float]:
+    delays = []
+    for node in fleet.nodes:
+        events = fleet.admin(node.number, "/timeline")
+        if isinstance(events, dict):
+            events = events["events"]
+        for event in events:
+            if event["kind"] == "configuration_in_force" and event["detail"].startswith(
+                f"version {version} "
+            ):
+                at = event["at"]
+                wall = at["wall_ms"] if isinstance(at, dict) else at[0]
+                if event["subject"] == "routes":
+                    delays.append(wall / 1000 - published)
+                    break
+    return delays
+
+
+def measure_fleet(count: int, results: dict[str, Any]) -> dict[str, Any]:
+    """Measure a fleet of real daemons and predict the same figures."""
+    size = size_of(1)
+    with open_fleet() as fleet:
+        fleet.start_log()
+        _start(fleet, count)
+        fleet.wait_joined(targets=0)
+        fleet.put_tables(pools=pools_text(size), routes=routes_text(size))
+        time.sleep(SETTLE_S)
+        pids = _pids(fleet)
+        started, traffic = time.monotonic(), _bytes(fleet)
+        cpu = [cpu_s(pid) for pid in pids]
+        time.sleep(REST_S)
+        took = time.monotonic() - started
+        used = [cpu_s(pid) - before for pid, before in zip(pids, cpu, strict=True)]
+        spent = _bytes(fleet) - traffic
+        last, missing = [], 0
+        for number in range(1, 1 + CHANGES):
+            published = _publish(
+                fleet, "routes", routes_text(size, change=number), base=number
+            )
+            time.sleep(CHANGE_S)
+            delays = _in_force_s(fleet, number + 1, published)
+            missing += count - len(delays)
+            last.append(max(delays))
+        resident = [resident_mb(pid) for pid in pids]
+    hop_s = results["daemon"]["rows"][2]["change_in_force_s"]
+    spread = spread_s(count, hop_s=hop_s)
+    measured = {
+        "rest_cpu_percent": 100 * fmean(used) / took,
+        # Each call counts once, at its caller, and is traffic of two nodes.
+        "rest_peer_bytes_s": 2 * spent / took / count,
+        "resident_mb": fmean(resident),
+        "change_last_s": fmean(last),
+    }
+    predicted = {
+        "rest_cpu_percent": rest_cpu_percent(results, count),
+        "rest_peer_bytes_s": rest_bytes_s(results, count),
+        "resident_mb": predicted_mb(results, nodes=count, targets=0, routes=ROUTES),
+        "change_last_s": spread["mean_s"],
+    }
+    return {
+        "nodes": count,
+        "load_average": os.getloadavg()[0],
+        "change_last_each_s": last,
+        "changes_not_seen": missing,
+        "measured": measured,
+        "predicted": predicted,
+        "error": {k: predicted[k] / measured[k] - 1 for k in measured},
+    }
+
+
+def main() -> None:
+    """Measure fleets, print the errors and write the file."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--sizes", type=int, nargs="+", default=SIZES)
+    options = parser.parse_args()
+    results = load_results()
+    fleets = []
+    for count in options.sizes:
+        fleets.append(measure_fleet(count, results))
+        print(fleets[-1], flush=True)
+    save_results("fleet", fleets)
+
+
+if __name__ == "__main__":
+    main()
