Bound how long pings repeat a change

A change is now repeated for 30 s at the most, and not at all in the answer to a node with the same directory. Counting such a node as a repeat of every change was tried and ruled out: two nodes that both know a change would drop it before the others heard of it, and test_a_spreading_change_triggers_no_sync failed.

The new test fails with either rule removed.

--- a/siskinlug/membership.py
+++ b/siskinlug/membership.py
@@ -65,6 +65,9 @@
 PUSH_COLLECT_S = 0.2
 PUSH_TIMEOUT_S = 1.0
 RECORDS_PER_PING = 8
+# A change known for longer is left to syncs. The records of a cold start of 430 nodes
+# would otherwise be repeated for some minutes.
+SPREAD_S = 30.0
 MARKS_PER_PING = 24
 RECORDS_PER_PUSH = 32
 # Repeats after a push, which alone leaves out about 2 % of the nodes.
@@ -136,11 +139,12 @@
 
 
 class _Spread:
-    """A change on its way: repeats left, and whether the content changed."""
+    """A change on its way: repeats left, their end, and if the content changed."""
 
-    def __init__(self, *, whole: bool, left: int) -> None:
+    def __init__(self, *, whole: bool, left: int, until: float) -> None:
         self.whole = whole
         self.left = left
+        self.until = until
 
 
 class _Throttle:
@@ -343,6 +347,9 @@
 def handle_ping(membership: Membership, message: Gossip) -> Gossip:
     """Take a heartbeat and answer it with what this node has to spread."""
     _take_gossip(membership, message)
+    if message.digest == membership.directory.digest():
+        # The sender lacks nothing, so there is nothing to repeat to it.
+        return _gossip(membership, marks=[], digest=message.digest)
     return _write_ping(membership, message.own)
 
 
@@ -783,6 +790,10 @@
     told so that it can answer with a higher version.
     """
     _notice_own_change(membership)
+    now = membership.monotonic()
+    for node, spread in list(membership.spreading.items()):
+        if spread.until <= now:
+            del membership.spreading[node]
     order = sorted(membership.spreading.items(), key=lambda item: -item[1].left)
     chosen: dict[str, bool] = {}
     room = {True: RECORDS_PER_PING, False: MARKS_PER_PING}
@@ -1028,7 +1039,8 @@
 def _queue(membership: Membership, node: str, *, whole: bool, left: int) -> None:
     queued = membership.spreading.get(node)
     whole = whole or (queued is not None and queued.whole)
-    membership.spreading[node] = _Spread(whole=whole, left=left)
+    until = membership.monotonic() + SPREAD_S
+    membership.spreading[node] = _Spread(whole=whole, left=left, until=until)
 
 
 def _repeats(membership: Membership) -> int:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -9,7 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from returns.result import Failure
-from testtools.matchers import Equals, GreaterThan, HasLength, LessThan
+from testtools.matchers import Equals, GreaterThan, HasLength, LessThan, Not
 
 from bench.fake_peers import FakeNetwork, make_record, wait_until
 from bench.virtual_time import run_virtual
@@ -19,6 +19,7 @@
 from siskinlug.membership import (
     FORGET_S,
     PUSH,
+    SPREAD_S,
     SYNC,
     Membership,
     Payload,
@@ -26,8 +27,10 @@
     change_own,
     check_peer,
     depart,
+    handle_ping,
     push_payload,
 )
+from siskinlug.messages import Gossip
 from siskinlug.timeline import Kind
 
 SETTLE_S = 90.0
@@ -330,6 +333,23 @@
 
         self._run(30, scenario)
 
+    def test_changes_are_repeated_for_a_bounded_time(self) -> None:
+        """Guards against pings that carry a cold start's records for minutes."""
+
+        async def scenario(network: FakeNetwork, records: list[NodeRecord]) -> None:
+            one = network.node_by_name[records[0].node].membership
+            other = network.node_by_name[records[1].node].membership
+            self.assertThat(one.spreading, Not(Equals({})))
+            # A sender with the same directory lacks nothing.
+            ping = Gossip(other.own_mark(), (0, 0), one.directory.digest())
+            answer = handle_ping(one, ping)
+            self.assertThat((answer.marks, answer.records), Equals(([], [])))
+            await asyncio.sleep(SPREAD_S + 2)
+            for node in network.node_by_name.values():
+                self.assertThat(node.membership.spreading, Equals({}))
+
+        self._run(60, scenario)
+
     def test_deaths_that_come_together_share_pushes(self) -> None:
         """Guards against a flood when a failure domain is lost."""
 
