--- a/siskinlug/verdict.py
+++ b/siskinlug/verdict.py
@@ -15,7 +15,7 @@
 
 
 class Reason(enum.StrEnum):
-    """Reason codes of refusals; each has a row in ``HTTP_BY_REASON``."""
+    """Reason codes of refusals; each has a row in ``INFO_BY_REASON``."""
 
     NO_CONFIGURATION = "no_configuration"
     NO_ROUTE = "no_route"
@@ -46,34 +46,156 @@
     INTERNAL = "internal"
 
 
-HTTP_BY_REASON: Mapping[Reason, int] = {
-    Reason.NO_CONFIGURATION: 503,
-    Reason.NO_ROUTE: 404,
-    Reason.NO_TARGET: 503,
-    Reason.ACCOUNT_RATE: 429,
-    Reason.QUEUE_FULL: 503,
-    Reason.QUEUE_TIMEOUT: 503,
-    Reason.DEADLINE: 504,
-    Reason.TARGET_LEAVING: 503,
-    Reason.TARGET_EJECTED: 503,
-    Reason.TARGET_UNKNOWN: 503,
-    Reason.LEASE_LAPSED: 503,
-    Reason.TARGET_SHED: 503,
-    Reason.TARGET_UNREACHABLE: 502,
-    Reason.TARGET_RESET: 502,
-    Reason.TARGET_SILENT: 504,
-    Reason.PEER_UNREACHABLE: 502,
-    Reason.PEER_LOST: 502,
-    Reason.NODE_LEAVING: 503,
-    Reason.CANCELLED: 499,
-    Reason.KEY_CLAIMED: 409,
-    Reason.KEY_MISMATCH: 422,
-    Reason.KEY_UNAVAILABLE: 503,
-    Reason.QUARANTINED: 403,
-    Reason.HEADERS_TOO_LARGE: 431,
-    Reason.BODY_TOO_LARGE: 413,
-    Reason.BAD_REQUEST: 400,
-    Reason.INTERNAL: 500,
+class ReasonInfo(NamedTuple):
+    """What a reason code means.
+
+    Attributes:
+        status: HTTP status for the caller.
+        meaning: One sentence.
+        action: What an operator or caller can do.
+    """
+
+    status: int
+    meaning: str
+    action: str
+
+
+INFO_BY_REASON: Mapping[Reason, ReasonInfo] = {
+    Reason.NO_CONFIGURATION: ReasonInfo(
+        503,
+        "No tables are in force on the node yet.",
+        "Publish pools and routes, or see why the node reaches neither log nor peers.",
+    ),
+    Reason.NO_ROUTE: ReasonInfo(
+        404,
+        "No route matches host, path and method.",
+        "Look at `siskinlug explain`.",
+    ),
+    Reason.NO_TARGET: ReasonInfo(
+        503,
+        "The pool has no target that could take the request.",
+        "Look at `siskinlug explain`: each target that was left out has its reason.",
+    ),
+    Reason.ACCOUNT_RATE: ReasonInfo(
+        429,
+        "The account is above the route's `account_rate`.",
+        "Wait for Retry-After, or raise the rate.",
+    ),
+    Reason.QUEUE_FULL: ReasonInfo(
+        503,
+        "The target's queue is full, or a suspect request waits to run alone.",
+        "Retry after Retry-After; add targets if it lasts.",
+    ),
+    Reason.QUEUE_TIMEOUT: ReasonInfo(
+        503,
+        "The request waited for `queue_wait_s` without a slot.",
+        "Add targets, or look for long work in the pool.",
+    ),
+    Reason.DEADLINE: ReasonInfo(
+        504,
+        "The route's `timeout_s` passed, or could not be met any more.",
+        "Compare `timeout_s` with the service times in the access log.",
+    ),
+    Reason.TARGET_LEAVING: ReasonInfo(
+        503,
+        "The target has announced that it is leaving.",
+        "Nothing; others take over.",
+    ),
+    Reason.TARGET_EJECTED: ReasonInfo(
+        503,
+        "The owner ejected the target for this route.",
+        "Look at `target_ejected` in the timeline.",
+    ),
+    Reason.TARGET_UNKNOWN: ReasonInfo(
+        503,
+        "The target is not, or no longer, at this node.",
+        "Nothing; it has moved or restarted.",
+    ),
+    Reason.LEASE_LAPSED: ReasonInfo(
+        503,
+        "The target has not renewed its announcement.",
+        "See whether the target runs and reaches its node.",
+    ),
+    Reason.TARGET_SHED: ReasonInfo(
+        503,
+        "The target itself refused the request before it started it.",
+        "Add targets, or lower `slots`.",
+    ),
+    Reason.TARGET_UNREACHABLE: ReasonInfo(
+        502,
+        "No connection to the target could be opened.",
+        "See whether the target runs.",
+    ),
+    Reason.TARGET_RESET: ReasonInfo(
+        502,
+        "The connection to the target broke before a whole answer.",
+        "Look for a crash of the target at that time.",
+    ),
+    Reason.TARGET_SILENT: ReasonInfo(
+        504,
+        "The target did not answer.",
+        "Look for hanging requests at the target.",
+    ),
+    Reason.PEER_UNREACHABLE: ReasonInfo(
+        502,
+        "No connection to the target's node could be opened.",
+        "Look at `link_down` in the timeline.",
+    ),
+    Reason.PEER_LOST: ReasonInfo(
+        502,
+        "The answer of the target's node was lost.",
+        "Look at `link_down` in the timeline.",
+    ),
+    Reason.NODE_LEAVING: ReasonInfo(
+        503,
+        "The target's node is stopping as planned.",
+        "Nothing; others take over.",
+    ),
+    Reason.CANCELLED: ReasonInfo(
+        499,
+        "The caller went away, or the attempt was cancelled.",
+        "Nothing.",
+    ),
+    Reason.KEY_CLAIMED: ReasonInfo(
+        409,
+        "A request with the same Idempotency-Key is running or has run.",
+        "Send it again after Retry-After to get the kept answer.",
+    ),
+    Reason.KEY_MISMATCH: ReasonInfo(
+        422,
+        "The Idempotency-Key belongs to another request.",
+        "The caller must use a new key for a new request.",
+    ),
+    Reason.KEY_UNAVAILABLE: ReasonInfo(
+        503,
+        "The key cannot be claimed, since the log is unavailable.",
+        "Wait for the log; see `claims_without_log`.",
+    ),
+    Reason.QUARANTINED: ReasonInfo(
+        403,
+        "The request was running at two crashes of targets.",
+        "Look at `request_refused` in the timeline; it ends after 10 min.",
+    ),
+    Reason.HEADERS_TOO_LARGE: ReasonInfo(
+        431,
+        "The head is above `limits.header_bytes`.",
+        "Shrink it, or raise the limit.",
+    ),
+    Reason.BODY_TOO_LARGE: ReasonInfo(
+        413,
+        "The body is above `limits.body_bytes`.",
+        "Shrink it, or raise the limit.",
+    ),
+    Reason.BAD_REQUEST: ReasonInfo(
+        400,
+        "The request is malformed.",
+        "The detail says what is wrong.",
+    ),
+    Reason.INTERNAL: ReasonInfo(
+        500,
+        "A fault of siskinlug.",
+        "Report it with the `request_failed` line of the log.",
+    ),
 }
 
 
@@ -95,7 +217,7 @@
     @property
     def status(self) -> int:
         """The HTTP status for a caller."""
-        return HTTP_BY_REASON[self.reason]
+        return INFO_BY_REASON[self.reason].status
 
 
 def not_run(
--- a/tests/test_tables.py
+++ b/tests/test_tables.py
@@ -8,7 +8,7 @@
 from returns.result import Failure, Success
 from testtools.matchers import Equals, Is, IsInstance, MatchesSetwise, StartsWith
 
-from siskinlug.reference import with_reference
+from siskinlug.reference import RENDER_BY_PAGE, with_reference
 from siskinlug.routing import match_route
 from siskinlug.tables import Route, Tables, parse_pools, parse_routes, read_tables
 
@@ -161,5 +161,6 @@
 class ReferenceTest(testtools.TestCase):
     def test_reference_page_is_up_to_date(self) -> None:
         """Guards against documentation that drifts from the keys that are checked."""
-        page = (EXAMPLES.parent / "docs" / "configuration.md").read_text()
-        self.assertThat(with_reference(page), Equals(page))
+        for name, render in RENDER_BY_PAGE.items():
+            page = (EXAMPLES.parent / "docs" / name).read_text()
+            self.assertThat(with_reference(page, render), Equals(page))
