--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -262,6 +262,12 @@
         _, outcomes = _play(jobs, slots=2, queue=8)
         self.assertThat(outcomes[-2:], Equals(["ran", "ran"]))
 
+    def test_long_work_starts_while_short_work_waits(self) -> None:
+        """Guards against long work left until no short work waits."""
+        jobs = [Job()] * 2 + [Job(0.01)] * 4 + [Job(0.02, 0.5, long_work=True)]
+        load, _ = _play(jobs, slots=2, queue=8)
+        self.assertThat(load.started[2], Equals(6))
+
     def test_the_limit_falls_on_shed_and_recovers(self) -> None:
         """Guards against pressing on a target that sheds, and never returning."""
         shed = [Job(i * 0.1, 0.05, shed=True) for i in range(10)]
