Guard the stand-in target's move, and state the time of a home's rebuild

A target that is left by an owner which receives but cannot answer must not announce elsewhere before that owner's lease has run out. The test uses a lease longer than the renewal's timeout; with a shorter one it passed without the wait. With the wait removed, or the last unanswered renewal not counted, it fails (scratch copy).

--- a/siskinlug/claims.py
+++ b/siskinlug/claims.py
@@ -33,8 +33,8 @@
 MAX_BATCH = 256
 MAX_WAITING = 1024
 MAX_NOTES = 4096
-# An hour of 27 keys/s, which is 5 % of 35,000 requests/s over 64 partitions.
-MAX_KEYS = 100_000
+# An hour of 27 keys/s, 5 % of 35,000 requests/s over 64 partitions, and some room.
+MAX_KEYS = 120_000
 MAX_ANSWER_BYTES = 16_384
 ANSWERS_BYTES = 4 << 20
 MAX_RELEASED = 1024
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -8,6 +8,9 @@
 import msgspec
 import testtools
 from testtools.matchers import Equals
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
+from tornado.netutil import bind_sockets
 
 from siskinlug.connections import Address, make_pool
 from standins.caller import Call, CallResult, Summary, run_closed_loop, send
@@ -103,3 +106,54 @@
         runs = _with_target(use, crash=lambda: crashes.append(1))
         self.assertThat(runs, Equals({"r1": 2, "k": 2}))
         self.assertThat(len(crashes), Equals(2))
+
+
+class TargetMoveTest(testtools.TestCase):
+    def test_a_target_moves_only_after_the_lease(self) -> None:
+        """Guards against two owners at once when the old one gets but cannot answer."""
+        lease_s = 1.5
+        received: list[tuple[str, int, float]] = []
+
+        def owner(name: str, alternatives: list[str], answers: int) -> HTTPServer:
+            def take(request: HTTPServerRequest) -> None:
+                connection: Any = request.connection
+                message = msgspec.json.decode(request.body)
+                received.append((name, message["epoch"], time.monotonic()))
+                if sum(who == name for who, _, _ in received) > answers:
+                    return
+                answer = msgspec.json.encode(
+                    {
+                        "lease_s": lease_s,
+                        "interval_s": 0.05,
+                        "alternatives": alternatives,
+                    }
+                )
+                headers = HTTPHeaders({"Content-Length": str(len(answer))})
+                start = ResponseStartLine("HTTP/1.1", 200, "OK")
+                connection.write_headers(start, headers, answer)
+                connection.finish()
+
+            return HTTPServer(take)
+
+        async def run() -> None:
+            sockets = [bind_sockets(0, "127.0.0.1")[0] for _ in range(2)]
+            names = [f"127.0.0.1:{s.getsockname()[1]}" for s in sockets]
+            old, new = owner("old", names[1:], 2), owner("new", [], 99)
+            old.add_sockets(sockets[:1])
+            new.add_sockets(sockets[1:])
+            options = _OPTIONS._replace(announce=names[0], interval_s=0.05)
+            async with serve_target(options):
+                while not received or received[-1][0] != "new":
+                    await asyncio.sleep(0.01)
+            old.stop()
+            new.stop()
+            await old.close_all_connections()
+            await new.close_all_connections()
+
+        asyncio.run(run())
+        last_old = max(at for name, _, at in received if name == "old")
+        first_new = min(at for name, _, at in received if name == "new")
+        self.assertThat(first_new - last_old >= lease_s, Equals(True))
+        self.assertThat(
+            {epoch for who, epoch, _ in received if who == "new"}, Equals({2})
+        )
