--- a/siskinlug/membership.py
+++ b/siskinlug/membership.py
@@ -8,6 +8,7 @@
 import asyncio
 import math
 from collections.abc import Awaitable, Callable, Coroutine, Iterable, Mapping, Sequence
+from itertools import islice
 from random import Random
 from typing import Any, NamedTuple, Protocol
 
@@ -50,21 +51,31 @@
 
 PING_INTERVAL_S = 1.0
 PING_TIMEOUT_S = 0.5
+# Links that are down are tried again after this time, a few in each interval; their
+# next turn in the list would come only after 7 min at 430 nodes.
+LINK_RECHECK_S = 2.0
+LINK_RECHECKS = 4
 HELPERS = 3
 PING_THROUGH_TIMEOUT_S = 1.0
 SUSPICION_S = 3.0
 # Rounds of checks during a suspicion, each through other helpers.
 SUSPICION_ROUNDS = 3
 PUSH_FANOUT = 4
-# A first change is pushed at once; those that follow are collected for this long, so
-# that a lost failure domain (86 deaths) costs a few pushes and not one for each.
+# A first change is pushed at once; those that follow are collected for this long.
 PUSH_COLLECT_S = 0.2
 PUSH_TIMEOUT_S = 1.0
 RECORDS_PER_PING = 8
 MARKS_PER_PING = 24
 RECORDS_PER_PUSH = 32
 # Repeats after a push, which alone leaves out about 2 % of the nodes.
-REPEATS_AFTER_PUSH = 2
+# They last about 2.5 s, in which each node that was left out pings two or three.
+REPEATS_AFTER_PUSH = 5
+# The targets of a node that starts come within a second or two, and each push of the
+# record is passed on by the whole fleet.
+OWN_CONTENT_INTERVAL_S = 1.0
+# Deaths and refutations come by the hundred when a failure domain is lost or regions
+# meet again, and none is as urgent as a change of configuration.
+DEATHS_INTERVAL_S = 1.0
 SYNC_TIMEOUT_S = 3.0
 SYNC_INTERVAL_S = 5.0
 # A digest that differs while changes are still spreading is no reason for a sync.
@@ -132,6 +143,15 @@
         self.left = left
 
 
+class _Throttle:
+    """Runs an action at once, and then at most once in an interval."""
+
+    def __init__(self, interval_s: float) -> None:
+        self.interval_s = interval_s
+        self.next = -math.inf
+        self.waiting = False
+
+
 class _Lost(NamedTuple):
     address: Address
     since: float
@@ -185,6 +205,10 @@
         self.mismatch_since: float | None = None
         self.next_sync = -math.inf
         self.own_noticed = directory.own
+        self.own_content = _Throttle(OWN_CONTENT_INTERVAL_S)
+        self.deaths = _Throttle(DEATHS_INTERVAL_S)
+        # Nodes that died or were refuted, waiting to be pushed.
+        self.collected: set[str] = set()
         self.tasks: asyncio.TaskGroup | None = None
 
     def own_mark(self) -> Mark:
@@ -247,6 +271,7 @@
             tasks.create_task(_push_changes(membership))
             await _join(membership)
             tasks.create_task(_ping_peers(membership))
+            tasks.create_task(_sync_after_join(membership))
             tasks.create_task(_reconnect(membership))
     finally:
         membership.tasks = None
@@ -419,6 +444,13 @@
     return False
 
 
+async def _sync_after_join(membership: Membership) -> None:
+    """Sync once more, since changes made during the join reach only known nodes."""
+    await membership.sleep(JOIN_INTERVAL_S * (0.5 + membership.random.random()))
+    for peer in _draw(membership, 1):
+        await _sync(membership, (peer.host, peer.peer_port))
+
+
 async def _ping_peers(membership: Membership) -> None:
     """Ping one peer an interval, each in its turn, and judge those that fail."""
     interval = PING_INTERVAL_S
@@ -427,11 +459,22 @@
         peer = _next_peer(membership)
         if peer is not None:
             _start(membership, _check(membership, peer))
+        for peer in _down_peers(membership):
+            _start(membership, _ping(membership, peer, fresh=True))
         _forget_dead(membership)
         _notice_own_change(membership)
         await membership.sleep(interval)
 
 
+def _down_peers(membership: Membership) -> list[NodeRecord]:
+    """Return some peers that are not dead and whose links wait to be tried again."""
+    before = membership.monotonic() - LINK_RECHECK_S
+    known = membership.directory.record_by_node
+    peers = (known.get(node) for node in membership.links.down_since_before(before))
+    down = (peer for peer in peers if peer is not None and peer.state != "dead")
+    return list(islice(down, LINK_RECHECKS))
+
+
 def _next_peer(membership: Membership) -> NodeRecord | None:
     for _ in range(2):
         while membership.queue:
@@ -466,10 +509,10 @@
             await membership.sleep(max(due - membership.monotonic(), 0.0))
             some = helpers[HELPERS * number : HELPERS * (number + 1)]
             held = membership.directory.record_by_node.get(peer.node)
-            if (
-                held is None
-                or record_order(held) > record_order(peer)
-                or await _reachable(membership, peer, some or helpers[:HELPERS])
+            if held is None or held.state == "dead":
+                return
+            if record_order(held) > record_order(peer) or await _reachable(
+                membership, peer, some or helpers[:HELPERS]
             ):
                 record(membership.timeline, Kind.MEMBER_CLEARED, peer.node)
                 return
@@ -931,15 +974,57 @@
     membership.last_change = membership.monotonic()
     whole = mark_of(own).content != mark_of(noticed).content
     _queue(membership, own.node, whole=whole, left=_repeats(membership))
-    _push(membership, own.node, whole=whole)
+    if not whole or own.state != noticed.state:
+        _push(membership, own.node, whole=whole)
+        return
+    _run_throttled(
+        membership,
+        membership.own_content,
+        lambda: _push(membership, own.node, whole=True),
+    )
 
 
 def _push(membership: Membership, node: str, *, whole: bool) -> None:
-    membership.urgent[node] = whole or membership.urgent.get(node, False)
     _queue(membership, node, whole=whole, left=REPEATS_AFTER_PUSH)
+    held = membership.directory.record_by_node.get(node)
+    if whole or (held is not None and held.state == "leaving"):
+        membership.urgent[node] = whole or membership.urgent.get(node, False)
+        membership.push_due.set()
+        return
+    membership.collected.add(node)
+    _run_throttled(membership, membership.deaths, lambda: _push_collected(membership))
+
+
+def _push_collected(membership: Membership) -> None:
+    for node in membership.collected:
+        membership.urgent.setdefault(node, False)
+    membership.collected.clear()
     membership.push_due.set()
 
 
+def _run_throttled(
+    membership: Membership, throttle: _Throttle, action: Callable[[], None]
+) -> None:
+    """Run an action now, or once when the interval has passed."""
+    if membership.monotonic() >= throttle.next:
+        throttle.next = membership.monotonic() + throttle.interval_s
+        action()
+    elif not throttle.waiting and membership.tasks is not None:
+        throttle.waiting = True
+        _start(membership, _run_later(membership, throttle, action))
+
+
+async def _run_later(
+    membership: Membership, throttle: _Throttle, action: Callable[[], None]
+) -> None:
+    try:
+        await membership.sleep(throttle.next - membership.monotonic())
+    finally:
+        throttle.waiting = False
+    throttle.next = membership.monotonic() + throttle.interval_s
+    action()
+
+
 def _queue(membership: Membership, node: str, *, whole: bool, left: int) -> None:
     queued = membership.spreading.get(node)
     whole = whole or (queued is not None and queued.whole)
--- a/siskinlug/node.py
+++ b/siskinlug/node.py
@@ -39,6 +39,7 @@
 from siskinlug.clock import HybridClock, wall_clock_ms
 from siskinlug.config_sync import (
     answer_configuration,
+    configuration_page,
     follow_configuration,
     make_configuration,
     note_position,
@@ -91,7 +92,13 @@
 from siskinlug.tables import Tables
 from siskinlug.timeline import Kind, Timeline, record
 from siskinlug.verdict import Reason, Verdict
-from siskinlug.watch import Watch, is_ejected, publish_targets, run_watch
+from siskinlug.watch import (
+    Watch,
+    is_ejected,
+    probe_target,
+    publish_targets,
+    run_watch,
+)
 
 PEER_IDLE_S = 60.0
 PEER_BODY_S = 3600.0
@@ -132,6 +139,7 @@
             quarantine=self.quarantine,
             connections=self.connections,
             is_ejected=lambda target, route: is_ejected(self.watch, target, route),
+            probe=lambda target: probe_target(self.watch, target),
             on_suspicions=lambda: push_payload(self.membership, "suspicions"),
             monotonic=self.monotonic,
         )
@@ -201,6 +209,9 @@
 
     def _own_record(self) -> NodeRecord:
         settings = self.settings
+        host, peer_port = settings.host, settings.peer_port
+        if settings.advertise:
+            host, peer_port = _address(settings.advertise)
         return NodeRecord(
             node=settings.name,
             incarnation=self.incarnation,
@@ -209,8 +220,8 @@
             vm=settings.vm,
             failure_domain=settings.failure_domain,
             region=settings.region,
-            host=settings.host,
-            peer_port=settings.peer_port,
+            host=host,
+            peer_port=peer_port,
             admin_port=settings.admin_port,
         )
 
@@ -316,13 +327,10 @@
 
 
 def _announce(node: Node, message: Announcement) -> AnnouncementAnswer:
-    alternatives = [
-        f"{peer.host}:{peer.peer_port}"
-        for peer in node.membership.others()
-        if peer.state == "alive"
-    ]
-    node.random.shuffle(alternatives)
-    alternatives = alternatives[:ALTERNATIVES]
+    alive = [peer for peer in node.membership.others() if peer.state == "alive"]
+    # Targets renew each second, so only the few that are named are drawn.
+    drawn = node.random.sample(alive, min(ALTERNATIVES, len(alive)))
+    alternatives = [f"{peer.host}:{peer.peer_port}" for peer in drawn]
     if node.owner.leaving:
         # A lease of 0 sends the target to another node at once.
         return AnnouncementAnswer(
@@ -448,8 +456,8 @@
         {
             "/nodes": nodes_page(directory),
             "/targets": targets_page(directory),
-            "/configuration": lambda _query: position_of(node.configuration.state),
             "/tables": tables_page(node.tables),
+            "/configuration": configuration_page(node.configuration),
             "/timeline": timeline_page(node.timeline),
             "/explain": explain_page(node.entry),
         }
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -1,7 +1,10 @@
 """The configuration under lost, late and doubled appends, races, trims and restarts."""
 
+import asyncio
+import threading
 from random import Random
 from typing import Any, NamedTuple
+from unittest import mock
 
 import testtools
 from hypothesis import settings
@@ -14,7 +17,7 @@
     rule,
     run_state_machine_as_test,
 )
-from testtools.matchers import Equals, IsInstance
+from testtools.matchers import Contains, Equals, HasLength, IsInstance, Not
 
 from bench.virtual_time import run_virtual
 from siskinlug.clock import HybridClock
@@ -37,9 +40,11 @@
     position_of,
     publish_record,
     snapshot_record,
+    start_over_record,
     tables_of,
 )
 from siskinlug.messages import Position, encode
+from siskinlug.tables import parse_pools
 from siskinlug.timeline import Timeline
 from tests.fake_configuration_log import FakeLog
 
@@ -75,6 +80,11 @@
     for entry in records:
         if not isinstance(entry, dict) or entry.get("id") in held.decided:
             continue
+        if entry.get("kind") == "start-over":
+            held.versions.update(routes=entry["version"], pools=entry["version"])
+            held.texts.update(routes=entry["routes_text"], pools=entry["pools_text"])
+            held.decided.clear()
+            held.decided[entry["id"]] = entry["version"]
         if entry.get("kind") == "cancel":
             held.decided[entry["id"]] = 0
         if entry.get("kind") != "publish" or "table" not in entry:
@@ -141,6 +151,23 @@
             else:
                 self.fake.add(sent)
 
+    @rule()
+    def append_start_over(self) -> None:
+        self.now_ms += 1_000_000  # more seconds than changes, as the rule needs
+        routes, pools = list(NEEDS)[1], list(HAS)[1]
+        version = self.now_ms // 1000
+        self.fake.add(
+            start_over_record(
+                f"over-{version}",
+                routes,
+                pools,
+                version=version,
+                operator="o",
+                note="",
+                at_ms=1,
+            )
+        )
+
     @rule(change=IDS)
     def append_cancel(self, change: str) -> None:
         self.fake.add(cancel_record(change, "routes", operator="o", at_ms=1))
@@ -342,6 +369,34 @@
         self.assertFalse(note_position(view, "peer", position))
         self.assertTrue(note_position(view, "peer", {**position, "pools_version": 1}))
 
+    def test_start_over_of_no_later_version_is_refused(self) -> None:
+        """Guards against a revert, also for a reader that is far behind."""
+        fake = FakeLog()
+        fake.add(_record("c1", "pools", "[a]\nservice = x\n"))
+        sent = start_over_record("s", "", "", version=1, operator="o", note="", at_ms=1)
+        for record in [sent, *range(20)]:
+            fake.add(record)
+        state = run_virtual(catch_up(fake.log(), EMPTY_STATE)).unwrap().state
+        self.assertThat(state.pools_text, Equals("[a]\nservice = x\n"))
+        self.assertThat([c.cause for c in state.changes], Equals(["", "conflict"]))
+
+    def test_large_table_is_parsed_beside_the_loop(self) -> None:
+        """Guards against a publish that stops all requests of a node for 60 ms."""
+        threads = set()
+
+        def parse(text: str) -> Any:
+            threads.add(threading.current_thread())
+            return parse_pools(text)
+
+        fake = FakeLog()
+        text = "".join(f"[p{n}]\nservice = s\n" for n in range(500))
+        fake.add(_record("c1", "pools", text))
+        with mock.patch("siskinlug.configuration.parse_pools", parse):
+            # Threads are not known to a virtual clock.
+            asyncio.run(catch_up(fake.log(), EMPTY_STATE))
+        self.assertThat(threads, Not(Contains(threading.current_thread())))
+        self.assertThat(threads, HasLength(1))
+
     def test_log_that_starts_over_is_not_followed(self) -> None:
         """Guards against folding two histories into one state."""
         fake = FakeLog()
