--- a/siskinlug/choice.py
+++ b/siskinlug/choice.py
@@ -14,6 +14,9 @@
 # tens of milliseconds, so a report older than a second says little.
 HALF_LIFE_S = 0.25
 MAX_TARGETS = 4096  # the fleet has about 3,500
+# Candidates whose reports are looked at. Larger pools are sampled first: looking at
+# all 43 targets of a large service would cost more than the rest of the entry's work.
+MAX_VIEWED = 16
 # Weight of a target without free slots, so that it is still drawn when all are full.
 _FULL_WEIGHT = 0.05
 
@@ -138,6 +141,13 @@
     return float(0.5 ** (max(candidate.load_age_s, 0.0) / HALF_LIFE_S))
 
 
+def _sample(candidates: list[Candidate], random: Random) -> list[Candidate]:
+    """Draw up to ``MAX_VIEWED`` candidates by weight and slots, and keep the own VM."""
+    weights = [c.weight * c.slots for c in candidates]
+    drawn = set(random.choices(range(len(candidates)), weights, k=MAX_VIEWED))
+    return [c for i, c in enumerate(candidates) if i in drawn or c.distance == 0]
+
+
 def make_choice(*, random: Random) -> Choice:
     """Make the choice of one entry.
 
@@ -161,6 +171,10 @@
         usable = [c for c in candidates if c.weight > 0 and c.slots > 0]
         if len(usable) <= 1:
             return usable[0] if usable else None
+        if len(usable) > MAX_VIEWED:
+            usable = _sample(usable, random)
+            if len(usable) == 1:
+                return usable[0]
         views = _views(usable, long_work, sent)
         weights = [
             c.weight * c.slots * max(view.free, _FULL_WEIGHT)
--- a/tests/test_load_rules.py
+++ b/tests/test_load_rules.py
@@ -133,6 +133,13 @@
         found = Counter(c.target for c in chosen if c)
         self.assertThat(found["a"], LessThan(8))
 
+    def test_all_targets_of_a_large_pool_are_used(self) -> None:
+        """Guards against a sample that leaves targets of a large pool without work."""
+        candidates = [_candidate(f"t{i}", _report(f"t{i}")) for i in range(43)]
+        found = _draw(candidates, 3000)
+        self.assertThat(len(found), Equals(43))
+        self.assertThat(max(found.values()), LessThan(140))
+
     def test_load_reports_survive_encoding(self) -> None:
         load = LoadReport("t", 6, 3, 2, 12.5, 20.0, 1, 2000.0)
         self.assertThat(decode_load(encode_load(load)), Equals(load))
