--- a/siskinlug/cli.py
+++ b/siskinlug/cli.py
@@ -23,7 +23,7 @@
 from siskinlug.configuration import EMPTY_STATE, accepted_as
 from siskinlug.ini import Fault
 from siskinlug.log_client import Log, open_log
-from siskinlug.publishing import LOG_TRIMMED, Outcome, publish, settle
+from siskinlug.publishing import LOG_TRIMMED, Outcome, publish, settle, start_over
 from siskinlug.tables import Pool, Route, parse_pools, parse_routes, read_tables
 
 ADMIN_TIMEOUT_S = 3.0
@@ -104,7 +104,10 @@
     str, typer.Option(help="Your name in the history; the login name by default.")
 ]
 FileArgument = Annotated[
-    Path, typer.Argument(exists=True, dir_okay=False, readable=True)
+    Path,
+    typer.Argument(
+        exists=True, dir_okay=False, readable=True, help="INI file of the table."
+    ),
 ]
 
 
@@ -117,7 +120,7 @@
     """Check both table files and that every route has its pool.
 
     Lists every fault at once as file, line, section and key. Needs neither the log nor
-    a node, so it suits a commit hook.
+    a node, so it suits a commit hook: `siskinlug check routes.ini pools.ini`
     """
     read = read_tables(
         _read(routes), _read(pools), routes_file=str(routes), pools_file=str(pools)
@@ -190,6 +193,8 @@
     will never be in force; if another change came first it is named, and `diff` shows
     what to merge. **unknown**: the log failed at the wrong moment; the command that
     settles it is printed.
+
+    Example: `siskinlug publish pools pools.ini --base 7 --note "vm12 back" --wait 20`
     """
     text = _read(file)
     if base is None:
@@ -201,7 +206,7 @@
                 opened,
                 table.value,
                 text,
-                change=change or f"{int(time.time()):x}-{secrets.token_hex(4)}",
+                change=change or _new_id(),
                 base=base,
                 operator=operator or getpass.getuser(),
                 note=note,
@@ -242,6 +247,40 @@
     _report(outcome, [], as_json=as_json)
 
 
+@app.command("start-over")
+def start_over_tables(
+    routes: FileArgument,
+    pools: FileArgument,
+    log: LogOption,
+    note: Annotated[str, typer.Option(help="Why, for the history.")] = "",
+    operator: OperatorOption = "",
+    change: Annotated[
+        str,
+        typer.Option("--id", help="Id of the change; the same id is published once."),
+    ] = "",
+    as_json: JsonOption = False,
+) -> None:
+    """Publish both tables when the log has lost the configuration.
+
+    This happens when no node ran for longer than the log keeps records. The command is
+    refused while the configuration can still be read from the log.
+    """
+    texts = _read(routes), _read(pools)
+    outcome = _run(
+        _with_log(
+            log,
+            lambda opened: start_over(
+                opened,
+                *texts,
+                change=change or _new_id(),
+                operator=operator or getpass.getuser(),
+                note=note,
+            ),
+        )
+    )
+    _report(outcome, [], as_json=as_json)
+
+
 @app.command()
 def history(
     log: LogOption,
@@ -286,7 +325,10 @@
     node: NodeOption,
     as_json: JsonOption = False,
 ) -> None:
-    """Explain where a request would go from one node, and why."""
+    """Explain where a request would go from one node, and why.
+
+    Example: `siskinlug explain GET http://hire.example/availability?size=40`
+    """
     query = urlencode({"method": method, "url": url})
     shown = _run(_get(node, f"/explain?{query}"))
     if as_json:
@@ -301,6 +343,44 @@
     _print_rows("left out", shown["left_out"])
 
 
+@app.command()
+def timeline(
+    node: NodeOption,
+    kind: Annotated[
+        list[str] | None, typer.Option(help="Kind of event, or its start; repeatable.")
+    ] = None,
+    only: Annotated[
+        list[str] | None, typer.Option(help="Process to show; repeatable.")
+    ] = None,
+    subject: Annotated[str, typer.Option(help="Text that the subject contains.")] = "",
+    last: Annotated[
+        float | None, typer.Option(help="Only the last seconds.", metavar="S")
+    ] = None,
+    follow: Annotated[bool, typer.Option(help="Go on until interrupted.")] = False,
+    picture: Annotated[
+        Path | None, typer.Option(help="Write an SVG or PNG, a lane a process.")
+    ] = None,
+) -> None:
+    """Show the events of all nodes, merged in causal order.
+
+    Example: `siskinlug timeline --kind target_ --last 60`
+    """
+    # Imported here: it brings in matplotlib, which no other command needs.
+    from siskinlug.timeline_view import run_timeline
+
+    status = run_timeline(
+        [node.removeprefix("http://").rstrip("/")],
+        kinds=kind or (),
+        nodes=only or (),
+        subject=subject,
+        last_s=last,
+        discover=True,
+        follow=follow,
+        picture=picture,
+    )
+    raise typer.Exit(status)
+
+
 def main() -> None:
     """Run the command line."""
     app()
@@ -442,6 +522,11 @@
         raise typer.Exit(Exit.INVALID) from None
 
 
+def _new_id() -> str:
+    """Return an id that no other change has."""
+    return f"{int(time.time()):x}-{secrets.token_hex(4)}"
+
+
 def _run(main: Coroutine[Any, Any, Any]) -> Any:
     return asyncio.run(main)
 
--- a/siskinlug/ejection.py
+++ b/siskinlug/ejection.py
@@ -15,6 +15,7 @@
     Evidence,
     Sickness,
     forget,
+    is_suspicious,
     judge,
     observed_requests,
     recent_requests,
@@ -336,7 +337,7 @@
 def _alarmed_scopes(ejection: Ejection) -> list[str]:
     """Scopes for which the target should be ejected, all routes before any."""
     now = ejection.monotonic()
-    if not ejection.status().ready:
+    if not is_suspicious(ejection.evidence):
         return []
     sickness_by_scope = judge(ejection.evidence)
     alarmed = [
@@ -346,7 +347,8 @@
         and now >= ejection.retry_by_scope.get(scope, 0.0)
         and _suspected(sickness)
     ]
-    if ALL_ROUTES in ejection.busy:
+    # The status searches all pools, too much for ten times a second without need.
+    if not alarmed or ALL_ROUTES in ejection.busy or not ejection.status().ready:
         return []
     return [ALL_ROUTES] if ALL_ROUTES in alarmed else alarmed
 
@@ -383,6 +385,9 @@
             return
         ejection.out_by_scope[scope] = out
         ejection.failures_by_scope.pop(scope, None)
+        if scope != ALL_ROUTES:
+            # Its failures must not count against the routes that stay in.
+            forget(ejection.evidence, scope)
         runner.note(Kind.TARGET_EJECTED, f"{scope}: {sickness}")
         _publish(runner)
         try:
--- a/tests/test_publishing.py
+++ b/tests/test_publishing.py
@@ -13,7 +13,7 @@
 from siskinlug.config_sync import catch_up
 from siskinlug.configuration import EMPTY_STATE, ConfigurationState, find_change
 from siskinlug.log_client import Log
-from siskinlug.publishing import Outcome, publish, settle
+from siskinlug.publishing import Outcome, publish, settle, start_over
 from standins.log_service import LogState
 from tests.fake_configuration_log import FakeLog
 from tests.test_log_client import run_with_log
@@ -44,12 +44,18 @@
 
 
 class PublishingTest(testtools.TestCase):
-    @given(fates=FATES, racers=st.integers(1, 3), arrives=st.booleans())
+    @given(
+        fates=FATES,
+        pauses=st.lists(st.sampled_from([0, 0.01, 0.3]), max_size=30),
+        racers=st.integers(1, 3),
+        arrives=st.booleans(),
+    )
     def test_outcomes_agree_with_the_log(
-        self, fates: list[str], racers: int, arrives: bool
+        self, fates: list[str], pauses: list[float], racers: int, arrives: bool
     ) -> None:
         """Guards against an outcome that a late append or another operator belies."""
         fake = FakeLog()
+        fake.pauses = iter(pauses)
         fake.faults = iter(fates)
 
         async def race() -> None:
@@ -108,6 +114,12 @@
 
         run_virtual(scenario())
 
+    def test_publish_repeated_by_its_operator_has_the_first_outcome(self) -> None:
+        """Guards against a change that is refused because of itself."""
+        fake = FakeLog()
+        first = run_virtual(_publish(fake.log(), "c"))
+        self.assertThat(run_virtual(_publish(fake.log(), "c")), Equals(first))
+
     def test_faulty_table_is_not_sent(self) -> None:
         """Guards against a log filled with tables that every node would refuse."""
         fake = FakeLog()
@@ -147,6 +159,33 @@
 
         run_virtual(scenario())
 
+    def test_start_over_ends_a_log_without_beginning(self) -> None:
+        """Guards against a fleet that can never be configured again."""
+        fake = FakeLog()
+        text = "[r]\npool = a\n"
+
+        async def scenario() -> None:
+            log = fake.log()
+
+            async def start(change: str) -> Outcome:
+                loop = asyncio.get_running_loop()
+                return await start_over(
+                    log, text, POOLS, change=change, operator="o", monotonic=loop.time
+                )
+
+            await _publish(log, "c1")
+            self.assertThat((await start("s1")).cause, Equals("conflict"))
+            fake.trim(0)
+            self.assertThat((await _publish(log, "c2")).cause, Equals("log"))
+            fake.faults = iter(["lost", "doubled"])
+            first = await start("s2")
+            self.assertThat(first.kind, Equals("accepted"))
+            self.assertThat(await start("s2"), Equals(first))
+            second = await _publish(log, "c3", base=first.version)
+            self.assertThat(second.version, Equals(first.version + 1))
+
+        run_virtual(scenario())
+
     def test_publish_over_http(self) -> None:
         """Guards against records that the wire changes."""
 
