--- a/siskinlug/inbound.py
+++ b/siskinlug/inbound.py
@@ -65,13 +65,16 @@
 
 
 class InboundServer:
-    """A listening port; ``task_by_request`` holds what is being served."""
+    """A listening port with its open connections and the requests being served."""
 
-    def __init__(self, serve: Serve, limits: InboundLimits) -> None:
+    def __init__(
+        self, serve: Serve, limits: InboundLimits, on_limit: Callable[[str], None]
+    ) -> None:
         self.serve = serve
         self.limits = limits
+        self.on_limit = on_limit
         self.tasks: set[asyncio.Task[None]] = set()
-        self.open_connections = 0
+        self.connections: set[HTTP1ServerConnection] = set()
         self.leaving = False
         self.http: HTTPServer | None = None
         self.port = 0
@@ -114,6 +117,21 @@
             self._task.cancel()
 
 
+def _take_connection(server: InboundServer, connection: HTTP1ServerConnection) -> bool:
+    """Note a connection that sends a request; false if it is above the limit."""
+    if connection in server.connections:
+        return True
+    if len(server.connections) >= server.limits.connections:
+        # The server does not tell its delegate of closed connections.
+        closed = {c for c in server.connections if c.stream.closed()}
+        server.connections -= closed
+        if not closed:
+            server.on_limit("connections")
+            return False
+    server.connections.add(connection)
+    return True
+
+
 class _ServerDelegate(HTTPServerConnectionDelegate):
     def __init__(self, server: InboundServer) -> None:
         self._server = server
@@ -122,6 +140,8 @@
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
         assert isinstance(server_conn, HTTP1ServerConnection)
+        if not _take_connection(self._server, server_conn):
+            server_conn.stream.close()
         address = getattr(server_conn.context, "address", None)
         remote_ip = address[0] if isinstance(address, tuple) else ""
         return _RequestDelegate(self._server, request_conn, remote_ip)
@@ -144,6 +164,7 @@
     """Serve one request and make sure that a failure never looks like an answer."""
     try:
         if problem := _head_problem(server.limits, inbound.head):
+            server.on_limit(problem.reason.value)
             await send_refusal(inbound, problem, request_id="")
         else:
             await server.serve(inbound)
@@ -169,6 +190,7 @@
         break_connection(inbound)
         return
     limit = server.limits.body_bytes
+    server.on_limit(Reason.BODY_TOO_LARGE.value)
     refusal = not_run(Reason.BODY_TOO_LARGE, f"the limit is {limit} bytes")
     with suppress(StreamClosedError):
         await send_refusal(inbound, refusal, request_id="")
@@ -271,7 +293,12 @@
 
 
 def open_server(
-    serve: Serve, *, host: str, port: int, limits: InboundLimits
+    serve: Serve,
+    *,
+    host: str,
+    port: int,
+    limits: InboundLimits,
+    on_limit: Callable[[str], None] = lambda _name: None,
 ) -> InboundServer:
     """Listen on a port and serve each request in a task of its own.
 
@@ -280,11 +307,12 @@
         host: Address to listen on.
         port: Port; 0 takes a free one, see ``InboundServer.port``.
         limits: Bounds for requests.
+        on_limit: Called with the name of a limit each time it is hit.
 
     Raises:
         OSError: The port is taken.
     """
-    server = InboundServer(serve, limits)
+    server = InboundServer(serve, limits, on_limit)
     server.http = HTTPServer(
         _ServerDelegate(server),
         max_header_size=limits.header_bytes * _HEAD_SLACK,
--- a/siskinlug/node.py
+++ b/siskinlug/node.py
@@ -3,6 +3,7 @@
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from contextlib import AsyncExitStack, asynccontextmanager
+from functools import partial
 from random import Random
 from typing import Any, TypeVar
 
@@ -490,12 +491,20 @@
     ):
         try:
             node.server_by_port[name] = open_server(
-                server, host=host, port=port, limits=bounds
+                server,
+                host=host,
+                port=port,
+                limits=bounds,
+                on_limit=partial(_count_limit, node, name),
             )
         except OSError as error:
             raise PortError(name, f"{host}:{port}: {error.strerror}") from error
 
 
+def _count_limit(node: Node, port: str, limit: str) -> None:
+    node.metrics.limits.add(1, {"port": port, "limit": limit})
+
+
 class PortError(Exception):
     """A port from the settings cannot be opened."""
 
--- a/tests/test_http_edges.py
+++ b/tests/test_http_edges.py
@@ -5,13 +5,14 @@
 import threading
 import time
 from collections.abc import Iterator
-from contextlib import contextmanager, suppress
+from contextlib import ExitStack, contextmanager, suppress
 
 import pytest
 import testtools
 from testtools.matchers import Contains, Equals, LessThan, Not, StartsWith
 
 from bench.fleet import (
+    ADMIN_PORT,
     CALLER_PORT,
     PEER_PORT,
     TOKEN,
@@ -27,7 +28,7 @@
 
 pytestmark = pytest.mark.processes
 
-LIMITS = "[limits]\nheader_bytes = 8192\nbody_bytes = 100000\n"
+LIMITS = "[limits]\nheader_bytes = 8192\nbody_bytes = 100000\ncaller_connections = 20\n"
 
 
 RAW_POOL = "[raw]\nservice = raw\n"
@@ -182,6 +183,22 @@
         )
         self.assertThat(answer, StartsWith(b"HTTP/1.1 413"))
 
+    def test_connections_above_the_limit_are_closed_and_counted(self) -> None:
+        """Guards against a node that runs out of file descriptors."""
+        address = (self.fleet.host(2), CALLER_PORT)
+        request = b"GET /read?bytes=10 HTTP/1.1\r\nHost: x\r\n\r\n"
+        with ExitStack() as stack:
+            answered = 0
+            for _ in range(22):
+                connection = socket.create_connection(address, timeout=5.0)
+                stack.enter_context(connection)
+                connection.sendall(request)
+                with suppress(ConnectionResetError):
+                    answered += bool(connection.recv(1000))
+        self.assertThat(answered, Equals(20))
+        metrics = call(self.fleet.host(2), ADMIN_PORT, "GET", "/metrics").body
+        self.assertThat(metrics, Contains(b'limit="connections"'))
+
     def test_chunked_body_reaches_the_target_whole(self) -> None:
         """Guards against a body that is lost when its framing changes."""
         answer = self._raw(
