--- a/siskinlug/choice.py
+++ b/siskinlug/choice.py
@@ -14,6 +14,8 @@
 # tens of milliseconds, so a report older than a second says little.
 HALF_LIFE_S = 0.25
 MAX_TARGETS = 4096  # the fleet has about 3,500
+# Reported times above this, infinite or not a number count as this.
+MAX_MS = 86_400_000.0
 # Candidates whose reports are looked at. Larger pools are sampled first: looking at
 # all 43 targets of a large service would cost more than the rest of the entry's work.
 MAX_VIEWED = 16
@@ -89,21 +91,27 @@
         long_work: Whether the request is long work.
         sent: Requests that this entry sent there since the report.
     """
+    service_ms = _bounded_ms(load.service_ms)
     if load.slots <= 0:
-        return _View(0.0, load.wait_ms + load.service_ms)
+        return _View(0.0, _bounded_ms(load.wait_ms) + service_ms)
     if long_work:
         free = max(load.long_free - sent, 0)
-        return _View(free / load.slots, load.long_wait_ms)
+        return _View(free / load.slots, _bounded_ms(load.long_wait_ms))
     busy = load.in_use + load.queued + sent
     use = min(busy / load.slots, 1.0)
     over = min(max(busy - load.slots, 0), sent)
-    wait_ms = load.wait_ms + load.service_ms * over / load.slots
+    wait_ms = _bounded_ms(load.wait_ms) + service_ms * over / load.slots
     # A target with one free slot left is likely to be full on arrival, so part of
     # the service time counts as wait in proportion to the square of the use.
-    expected_ms = wait_ms + load.service_ms * (1.0 + 0.5 * use * use)
+    expected_ms = wait_ms + service_ms * (1.0 + 0.5 * use * use)
     return _View(1.0 - use, expected_ms)
 
 
+def _bounded_ms(value: float) -> float:
+    """Return a reported time that can be added and rounded, whatever was reported."""
+    return value if 0.0 <= value <= MAX_MS else MAX_MS
+
+
 def _views(
     candidates: Sequence[Candidate], long_work: bool, sent: "_Sent"
 ) -> list[_View]:
@@ -117,7 +125,9 @@
         c.load and (_view(c.load, long_work, sent.since(c)), _trust(c))
         for c in candidates
     ]
-    service_ms = min((c.load.service_ms for c in candidates if c.load), default=0.0)
+    service_ms = min(
+        (_bounded_ms(c.load.service_ms) for c in candidates if c.load), default=0.0
+    )
     free, expected_ms, total = 0.5, 0.0 if long_work else service_ms, 1.0
     for known in fresh:
         if known:
--- a/siskinlug/load.py
+++ b/siskinlug/load.py
@@ -1,5 +1,6 @@
 """Load report of a target, carried in a header of each answer between nodes."""
 
+from math import isfinite
 from typing import NamedTuple
 
 _FIELDS = 8
@@ -46,7 +47,7 @@
         return None
     try:
         target, slots, in_use, queued, wait_ms, service_ms, long_free, long_ms = parts
-        return LoadReport(
+        report = LoadReport(
             target,
             int(slots),
             int(in_use),
@@ -56,5 +57,7 @@
             int(long_free),
             float(long_ms),
         )
+        times = report.wait_ms, report.service_ms, report.long_wait_ms
+        return report if all(map(isfinite, times)) else None
     except ValueError:
         return None
