--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -7,11 +7,12 @@
 machine disturbs it little.
 """
 
+import argparse
 import asyncio
 import os
 import time
 from collections import Counter
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from contextlib import AsyncExitStack, suppress
 from pathlib import Path
 from random import Random
@@ -22,11 +23,14 @@
 from tornado.httputil import HTTPHeaders
 
 from bench.capacity_memory import libraries_mb, measure_memory
+from bench.capacity_model import poll_interval_s
 from bench.capacity_peers import Peers, Relay, open_relay
 from bench.capacity_size import (
     FRACTIONS,
     PEER_PORT,
+    RESULTS,
     Size,
+    load_results,
     make_records,
     path_of,
     pools_text,
@@ -86,14 +90,14 @@
     return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
 
 
-def fit(points: list[tuple[float, float]]) -> dict[str, float]:
+def fit(points: Sequence[Sequence[float]]) -> dict[str, float]:
     """Fit a line; the residual is the largest one as a share of the largest value."""
     slope, base = linear_regression(*zip(*points, strict=True))
     worst = max(abs(base + slope * x - y) for x, y in points)
     return {
         "base": base,
         "slope": slope,
-        "residual": worst / max(abs(y) for _, y in points),
+        "residual": worst / max(abs(point[1]) for point in points),
     }
 
 
@@ -224,7 +228,10 @@
             state="ready",
             probe_path="/health",
         )
-        await self.peers.call(self.address, "/announce", message, AnnouncementAnswer)
+        # Targets keep their connection, as the stand-in target does.
+        await self.peers.call(
+            self.address, "/announce", message, AnnouncementAnswer, fresh=False
+        )
 
     async def renewals(self, seconds: float, rate: float) -> None:
         """Renew the announcements of all own targets at a rate for each."""
@@ -368,13 +375,18 @@
         figures["record_changes"] = await bench.over(BURST_S, bench.record_changes())
         failed = []
 
+        # The leases lapsed during the changes.
+        await bench.renewals(1, 1)
+
         async def as_entry() -> None:
             failed.append(await bench.requests(CALLER_PORT, bench.caller_head))
 
         async def as_owner() -> None:
             failed.append(await bench.requests(8081, bench.attempt_head))
 
-        figures["entry"] = await bench.over(REQUESTS / REQUESTS_S, as_entry())
+        figures["entry"] = await bench.over(
+            REQUESTS / REQUESTS_S, bench.renewals(REQUESTS / REQUESTS_S, 1), as_entry()
+        )
         figures["owner"] = await bench.over(
             REQUESTS / REQUESTS_S,
             bench.renewals(REQUESTS / REQUESTS_S, 1),
@@ -417,11 +429,19 @@
         ping_s = (
             at["pings"]["cpu_s"] - rest["cpu_s"] / rest["seconds"] * BURST_S
         ) / at["pings"]["calls"]["/peer/ping"]
-        renewal_s = (
-            at["renewals"]["cpu_s"]
-            - rest["cpu_s"] / rest["seconds"] * at["renewals"]["seconds"]
-        ) / at["renewals"]["calls"]["/announce"]
         rest_share = owning["cpu_s"] / owning["seconds"]
+        # Between two rates of renewal, so that the watch of own targets cancels out;
+        # one heartbeat a second more is sent at the lower rate.
+        fast, slow = at["renewals"], owning
+        renewal_s = (fast["cpu_s"] / fast["seconds"] - (rest_share - ping_s)) / (
+            fast["calls"]["/announce"] / fast["seconds"]
+            - slow["calls"]["/announce"] / slow["seconds"]
+        )
+        watch_share = (
+            rest_share
+            - rest["cpu_s"] / rest["seconds"]
+            - renewal_s * slow["calls"]["/announce"] / slow["seconds"]
+        )
         changes = at["changes"]
         change_cpu = [
             max(0.0, c["cpu_s"] - rest["cpu_s"] / rest["seconds"] * c["seconds"])
@@ -446,6 +466,10 @@
                 "rss_end_mb": at["owner"]["rss_mb"],
                 "heartbeat_cpu_ms": ping_s * 1000,
                 "renewal_cpu_ms": renewal_s * 1000,
+                "watch_cpu_percent": 100 * watch_share,
+                "rest_alone_cpu_percent": 100 * rest["cpu_s"] / rest["seconds"],
+                "log_reads_s": 1 / poll_interval_s(at["nodes"]),
+                "rss_changed_mb": at["changes"][-1]["rss_mb"],
                 "rest_cpu_percent": 100 * rest_share,
                 "rest_peer_bytes_s": peer / owning["seconds"],
                 "rest_announce_bytes_s": announce / owning["seconds"],
@@ -464,10 +488,7 @@
                 * (records["cpu_s"] - rest["cpu_s"] / rest["seconds"] * BURST_S)
                 / RECORD_CHANGES,
                 "entry_cpu_ms": 1000
-                * (
-                    at["entry"]["cpu_s"]
-                    - rest["cpu_s"] / rest["seconds"] * at["entry"]["seconds"]
-                )
+                * (at["entry"]["cpu_s"] - rest_share * at["entry"]["seconds"])
                 / REQUESTS,
                 "owner_cpu_ms": 1000
                 * (at["owner"]["cpu_s"] - rest_share * at["owner"]["seconds"])
@@ -494,6 +515,9 @@
     "rss_end_mb": "nodes",
     "heartbeat_cpu_ms": "nodes",
     "renewal_cpu_ms": "nodes",
+    "watch_cpu_percent": "nodes",
+    "rest_alone_cpu_percent": "log_reads_s",
+    "rss_changed_mb": "nodes",
     "rest_cpu_percent": "nodes",
     "rest_peer_bytes_s": "nodes",
     "change_cpu_ms": "routes",
@@ -528,35 +552,44 @@
     return sizes, await memory, bare
 
 
-def main() -> None:
-    """Measure, print the fits and write the file."""
-    started = time.monotonic()
-    sizes, memory, bare = asyncio.run(_measure())
-    rows = derive(sizes)
+def _save(
+    daemon: dict[str, Any], memory: dict[str, list[list[int]]], path: Path = RESULTS
+) -> None:
+    rows = derive(daemon["sizes"])
     fits = fits_of(rows)
-    save_results(
-        "daemon",
-        {
-            "run_s": time.monotonic() - started,
-            "libraries_mb": bare,
-            "load_average": os.getloadavg()[0],
-            "sizes": sizes,
-            "rows": rows,
-            "fits": fits,
-        },
-    )
-    points = {
-        kind: [(float(x), float(y)) for x, y in pairs] for kind, pairs in memory.items()
-    }
+    save_results("daemon", {**daemon, "rows": rows, "fits": fits}, path)
+    memory_fits = {kind: fit(pairs) for kind, pairs in memory.items()}
     save_results(
         "memory",
-        {k: {"points": memory[k], "fit": fit(pairs)} for k, pairs in points.items()},
+        {k: {"points": memory[k], "fit": memory_fits[k]} for k in memory},
+        path,
     )
     for name, fitted in fits.items():
         print(f"{name}: {fitted}")
-    for kind, pairs in points.items():
-        print(f"bytes of a {kind}: {fit(pairs)}")
-    print("written to docs/capacity.json")
+    for kind, fitted in memory_fits.items():
+        print(f"bytes of a {kind}: {fitted}")
+
+
+def main() -> None:
+    """Measure, print the fits and write the file."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument(
+        "--derive", action="store_true", help="only fit the recorded figures again"
+    )
+    if parser.parse_args().derive:
+        results = load_results()
+        memory = {kind: held["points"] for kind, held in results["memory"].items()}
+        _save(results["daemon"], memory)
+        return
+    started = time.monotonic()
+    sizes, memory, bare = asyncio.run(_measure())
+    daemon = {
+        "run_s": time.monotonic() - started,
+        "libraries_mb": bare,
+        "load_average": os.getloadavg()[0],
+        "sizes": sizes,
+    }
+    _save(daemon, memory)
 
 
 if __name__ == "__main__":
--- a/siskinlug/membership.py
+++ b/siskinlug/membership.py
@@ -8,6 +8,7 @@
 import asyncio
 import math
 from collections.abc import Awaitable, Callable, Coroutine, Iterable, Mapping, Sequence
+from itertools import islice
 from random import Random
 from typing import Any, NamedTuple, Protocol
 
@@ -50,6 +51,10 @@
 
 PING_INTERVAL_S = 1.0
 PING_TIMEOUT_S = 0.5
+# Links that are down are tried again after this time, a few in each interval; their
+# next turn in the list would come only after 7 min at 430 nodes.
+LINK_RECHECK_S = 2.0
+LINK_RECHECKS = 4
 HELPERS = 3
 PING_THROUGH_TIMEOUT_S = 1.0
 SUSPICION_S = 3.0
@@ -60,6 +65,9 @@
 PUSH_COLLECT_S = 0.2
 PUSH_TIMEOUT_S = 1.0
 RECORDS_PER_PING = 8
+# A change known for longer is left to syncs. The records of a cold start of 430 nodes
+# would otherwise be repeated for some minutes.
+SPREAD_S = 30.0
 MARKS_PER_PING = 24
 RECORDS_PER_PUSH = 32
 # Repeats after a push, which alone leaves out about 2 % of the nodes.
@@ -131,11 +139,12 @@
 
 
 class _Spread:
-    """A change on its way: repeats left, and whether the content changed."""
+    """A change on its way: repeats left, their end, and if the content changed."""
 
-    def __init__(self, *, whole: bool, left: int) -> None:
+    def __init__(self, *, whole: bool, left: int, until: float) -> None:
         self.whole = whole
         self.left = left
+        self.until = until
 
 
 class _Throttle:
@@ -338,6 +347,9 @@
 def handle_ping(membership: Membership, message: Gossip) -> Gossip:
     """Take a heartbeat and answer it with what this node has to spread."""
     _take_gossip(membership, message)
+    if message.digest == membership.directory.digest():
+        # The sender lacks nothing, so there is nothing to repeat to it.
+        return _gossip(membership, marks=[], digest=message.digest)
     return _write_ping(membership, message.own)
 
 
@@ -454,11 +466,22 @@
         peer = _next_peer(membership)
         if peer is not None:
             _start(membership, _check(membership, peer))
+        for peer in _down_peers(membership):
+            _start(membership, _ping(membership, peer, fresh=True))
         _forget_dead(membership)
         _notice_own_change(membership)
         await membership.sleep(interval)
 
 
+def _down_peers(membership: Membership) -> list[NodeRecord]:
+    """Return some peers that are not dead and whose links wait to be tried again."""
+    before = membership.monotonic() - LINK_RECHECK_S
+    known = membership.directory.record_by_node
+    peers = (known.get(node) for node in membership.links.down_since_before(before))
+    down = (peer for peer in peers if peer is not None and peer.state != "dead")
+    return list(islice(down, LINK_RECHECKS))
+
+
 def _next_peer(membership: Membership) -> NodeRecord | None:
     for _ in range(2):
         while membership.queue:
@@ -767,6 +790,10 @@
     told so that it can answer with a higher version.
     """
     _notice_own_change(membership)
+    now = membership.monotonic()
+    for node, spread in list(membership.spreading.items()):
+        if spread.until <= now:
+            del membership.spreading[node]
     order = sorted(membership.spreading.items(), key=lambda item: -item[1].left)
     chosen: dict[str, bool] = {}
     room = {True: RECORDS_PER_PING, False: MARKS_PER_PING}
@@ -1012,7 +1039,8 @@
 def _queue(membership: Membership, node: str, *, whole: bool, left: int) -> None:
     queued = membership.spreading.get(node)
     whole = whole or (queued is not None and queued.whole)
-    membership.spreading[node] = _Spread(whole=whole, left=left)
+    until = membership.monotonic() + SPREAD_S
+    membership.spreading[node] = _Spread(whole=whole, left=left, until=until)
 
 
 def _repeats(membership: Membership) -> int:
--- a/siskinlug/node.py
+++ b/siskinlug/node.py
@@ -3,6 +3,7 @@
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from contextlib import AsyncExitStack, asynccontextmanager
+from functools import partial
 from random import Random
 from typing import Any, TypeVar
 
@@ -327,13 +328,10 @@
 
 
 def _announce(node: Node, message: Announcement) -> AnnouncementAnswer:
-    alternatives = [
-        f"{peer.host}:{peer.peer_port}"
-        for peer in node.membership.others()
-        if peer.state == "alive"
-    ]
-    node.random.shuffle(alternatives)
-    alternatives = alternatives[:ALTERNATIVES]
+    alive = [peer for peer in node.membership.others() if peer.state == "alive"]
+    # Targets renew each second, so only the few that are named are drawn.
+    drawn = node.random.sample(alive, min(ALTERNATIVES, len(alive)))
+    alternatives = [f"{peer.host}:{peer.peer_port}" for peer in drawn]
     if node.owner.leaving:
         # A lease of 0 sends the target to another node at once.
         return AnnouncementAnswer(
@@ -493,12 +491,20 @@
     ):
         try:
             node.server_by_port[name] = open_server(
-                server, host=host, port=port, limits=bounds
+                server,
+                host=host,
+                port=port,
+                limits=bounds,
+                on_limit=partial(_count_limit, node, name),
             )
         except OSError as error:
             raise PortError(name, f"{host}:{port}: {error.strerror}") from error
 
 
+def _count_limit(node: Node, port: str, limit: str) -> None:
+    node.metrics.limits.add(1, {"port": port, "limit": limit})
+
+
 class PortError(Exception):
     """A port from the settings cannot be opened."""
 
--- a/tests/test_load_rules.py
+++ b/tests/test_load_rules.py
@@ -133,6 +133,13 @@
         found = Counter(c.target for c in chosen if c)
         self.assertThat(found["a"], LessThan(8))
 
+    def test_all_targets_of_a_large_pool_are_used(self) -> None:
+        """Guards against a sample that leaves targets of a large pool without work."""
+        candidates = [_candidate(f"t{i}", _report(f"t{i}")) for i in range(43)]
+        found = _draw(candidates, 3000)
+        self.assertThat(len(found), Equals(43))
+        self.assertThat(max(found.values()), LessThan(140))
+
     def test_load_reports_survive_encoding(self) -> None:
         load = LoadReport("t", 6, 3, 2, 12.5, 20.0, 1, 2000.0)
         self.assertThat(decode_load(encode_load(load)), Equals(load))
@@ -243,7 +250,7 @@
     def test_a_rare_slow_answer_does_not_make_a_route_long(self) -> None:
         """Guards against a mean, which one answer in fifty would raise tenfold."""
         times = make_service_times(monotonic=_clock)
-        for i in range(500):
+        for i in range(501):
             observe(times, "short", 10.0 if i % 50 == 0 else 0.02)
             if i % 20 == 0:
                 observe(times, "long", 2.0)
