Keep the stand-in target from returning to a home that does not answer

Tests of claims now also guard: a claim read back behind another that was freed meanwhile, and a second outcome while the log is away. With each rule removed in a scratch copy one of them fails.

--- a/standins/target.py
+++ b/standins/target.py
@@ -251,8 +251,10 @@
     stream.close()
     # The owner that is left must not write requests for the rest of its lease.
     target.state = "leaving"
-    await _announce(target, target.owner)
+    left = await _announce(target, target.owner)
     target.state = "ready"
+    if left is None:
+        return False
     target.owner = home
     target.epoch += 1
     return True
@@ -287,6 +289,8 @@
             target.alternatives.append(target.owner)
             target.owner = target.alternatives.pop(0)
             target.epoch += 1
+            # A paused home accepts connections and does not answer.
+            target.home_not_before = time.monotonic() + HOME_RETRY_S
             # One try at each further owner is enough; the next one follows a lease
             # later, or at once if the connection was refused.
             failures = RENEWALS_BEFORE_MOVE - 1
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -302,15 +302,38 @@
             held = (await fleet.ask("n0", _KEYS[0], "c1")).unwrap()
             fleet.log.lose_next = 1
             await settle(held, Verdict.RAN, 200, (), None)
-            await asyncio.sleep(3.0)
+            await asyncio.sleep(0.1)
             again = Claim(fleet.claims["n1"], _KEYS[0], short_digest("c1"), None)
             await settle(again, Verdict.NOT_RUN, 0, (), None)
+            await asyncio.sleep(0.1)
+            at_home = _verdict(await fleet.ask("n1", _KEYS[0], "c2"))
+            assert at_home == (Verdict.RAN, Reason.KEY_CLAIMED)
             await asyncio.sleep(3.0)
             fleet.home_by_view = dict.fromkeys(_NODES, "n2")
-            return _verdict(await fleet.ask("n2", _KEYS[0], "c2"))
+            return _verdict(await fleet.ask("n2", _KEYS[0], "c3"))
 
         self.assertThat(_run(use), Equals((Verdict.RAN, Reason.KEY_CLAIMED)))
 
+    def test_a_claim_read_back_behind_another_is_refused(self) -> None:
+        """Guards against a claim in memory while the log is there to decide."""
+
+        async def use(fleet: Fleet) -> Any:
+            fleet.home_by_view["n2"] = "n2"
+            await fleet.ask("n2", _KEYS[0], "d1")
+            append = fleet.log.append
+
+            async def append_and_free(stream: str, record: Any, **options: Any) -> Any:
+                result = await append(stream, record, **options)
+                freed = ["s", _KEYS[0], short_digest("d1"), "not-run"]
+                batch = {"home": "x@1", "seq": 1, "at_ms": 0, "entries": [freed]}
+                await append(stream, batch)
+                return result
+
+            fleet.log.append = append_and_free  # type: ignore[method-assign]
+            return _verdict(await fleet.ask("n1", _KEYS[0], "c1", without_log="memory"))
+
+        self.assertThat(_run(use), Equals((Verdict.NOT_RUN, Reason.KEY_UNAVAILABLE)))
+
     def test_a_planned_stop_writes_outcomes_first(self) -> None:
         """Guards against a planned stop that turns ran into may have run."""
 
@@ -382,6 +405,12 @@
             memory = await fleet.ask("n1", _KEYS[1], "c2", without_log="memory")
             repeat = await fleet.ask("n2", _KEYS[1], "c3", without_log="memory")
             await settle(memory.unwrap(), Verdict.RAN, 200, (), None)
+            await asyncio.sleep(0.1)
+            second = Claim(fleet.claims["n1"], _KEYS[1], short_digest("c2"), None)
+            await settle(second, Verdict.NOT_RUN, 0, (), None)
+            await asyncio.sleep(0.1)
+            ran = await fleet.ask("n2", _KEYS[1], "c5", without_log="memory")
+            assert _verdict(ran) == (Verdict.RAN, Reason.KEY_CLAIMED)
             fleet.log.down = False
             await asyncio.sleep(5.0)
             fleet.home_by_view = dict.fromkeys(_NODES, "n2")
