Split the entry role: candidates, attempts at other nodes; keep pool members

The members of a pool were searched among all targets for each request, 3,500 at the planned size; they are now kept until the directory or the pool changes.

--- a/siskinlug/admin.py
+++ b/siskinlug/admin.py
@@ -7,9 +7,9 @@
 import msgspec
 from tornado.httputil import HTTPHeaders
 
+from siskinlug.candidates import TargetView, belongs, candidates, distance
 from siskinlug.clock import Timestamp
 from siskinlug.directory import Directory, NodeRecord, TargetRecord
-from siskinlug.entry import Entry, belongs, candidates, distance
 from siskinlug.inbound import Inbound, Serve, send_answer
 from siskinlug.metrics import export_metrics
 from siskinlug.routing import match_route
@@ -106,33 +106,33 @@
     return page
 
 
-def explain_page(entry: Entry) -> Page:
+def explain_page(view: TargetView, tables: Callable[[], Tables]) -> Page:
     """Show where a request would go from this node, and why."""
 
     def page(query: Mapping[str, str]) -> Any:
         method = query.get("method", "GET")
         url = urlsplit(query.get("url", "/"))
-        tables = entry.tables()
+        held = tables()
         path = url.path + (f"?{url.query}" if url.query else "")
-        route = match_route(tables, method, url.netloc, path or "/")
+        route = match_route(held, method, url.netloc, path or "/")
         if route is None:
             return {"route": None, "why": "no route matches host, path and method"}
-        pool = tables.pools_by_name[route.pool]
-        own = entry.directory.own
+        pool = held.pools_by_name[route.pool]
+        own = view.directory.own
         return {
             "route": route._asdict(),
             "pool": pool._asdict(),
-            "candidates": [c._asdict() for c in candidates(entry, route, pool)],
+            "candidates": [c._asdict() for c in candidates(view, route, pool)],
             "left_out": [
                 {"target": target.target, "node": node.node, "why": why}
-                for node in entry.directory.record_by_node.values()
+                for node in view.directory.record_by_node.values()
                 for target in node.targets
                 if target.service == pool.service
                 and (why := _why_left_out(pool, node, target, route.name))
             ],
             "from": own.node,
             "distance_by_node": {
-                node.node: distance(own, node) for node in entry.directory.alive()
+                node.node: distance(own, node) for node in view.directory.alive()
             },
         }
 
--- a/siskinlug/entry.py
+++ b/siskinlug/entry.py
@@ -1,16 +1,12 @@
 """Entry role: match the route, pick a target, keep the deadline, give the verdict."""
 
-import asyncio
 import secrets
 from collections import deque
 from collections.abc import (
     AsyncIterator,
-    Awaitable,
     Callable,
-    Iterable,
 )
 from contextlib import asynccontextmanager
-from functools import partial
 from statistics import median
 from typing import NamedTuple
 
@@ -19,6 +15,7 @@
 
 from siskinlug.account_rates import AccountRates, check_rate
 from siskinlug.body import BodyCut
+from siskinlug.candidates import TargetView, candidates
 from siskinlug.choice import Candidate, Choice
 from siskinlug.claims import (
     MAX_ANSWER_BYTES,
@@ -28,36 +25,19 @@
     key_digest,
     settle,
 )
-from siskinlug.connections import (
-    IDLE_MAX_S,
-    NON_IDEMPOTENT_IDLE_MAX_S,
-    ConnectionPool,
-    open_connection,
-)
-from siskinlug.directory import Directory, NodeRecord, TargetRecord
 from siskinlug.exchange import (
     Answer,
     RequestHead,
     drop_header,
     drop_hop_by_hop,
     drop_prefix,
-    exchange,
 )
 from siskinlug.inbound import Inbound, send_answer, send_refusal, stream_answer
-from siskinlug.links import Links, link_up
-from siskinlug.load import LoadReport, decode_load
 from siskinlug.logs import log_event
 from siskinlug.metrics import Metrics
-from siskinlug.owner import AttemptRequest, Owner, load_of, open_attempt
-from siskinlug.paths import (
-    Paths,
-    first_byte_bound_s,
-    note_answer,
-    note_path_failure,
-    penalty_ms,
-    usable,
-)
+from siskinlug.owner import AttemptRequest, Owner, open_attempt
 from siskinlug.quarantine import fingerprint_of
+from siskinlug.remote_attempts import RemoteOwners, open_remote_attempt
 from siskinlug.retries import (
     FREE_REASONS,
     RetryBudget,
@@ -75,11 +55,8 @@
 DEADLINE_MARGIN_S = 0.005
 RECENT_SERVICE_TIMES = 64
 MIN_BASELINE_SAMPLES = 8
-ANSWER_GRACE_S = 0.2
 AVOID_S = 1.0
 MAX_KEY_CHARS = 256
-# A target behind a link whose last heartbeat failed is a last resort.
-LINK_DOWN_PENALTY_MS = 1000.0
 
 
 class Request(NamedTuple):
@@ -104,56 +81,33 @@
     refusal: Refusal | None
 
 
-class EntryPeers(NamedTuple):
-    """What an entry asks owners, each over a new connection.
-
-    Attributes:
-        cancel_attempt: From the owner, the attempt and the time it was sent to what
-            became of it.
-        attempt_state: From the owner and the attempt to ``unknown``, ``running`` or
-            ``ended``, or ``None`` if the owner did not answer.
-    """
-
-    cancel_attempt: Callable[[NodeRecord, str, float], Awaitable[Verdict]]
-    attempt_state: Callable[[NodeRecord, str], Awaitable[str | None]]
-
-
 class Entry:
     """State of the entry role of one process."""
 
     def __init__(
         self,
         *,
-        directory: Directory,
+        view: TargetView,
         owner: Owner,
-        connections: ConnectionPool,
+        remote: RemoteOwners,
         tables: Callable[[], Tables],
         choose: Choice,
-        paths: Paths,
-        links: Links,
-        peers: EntryPeers,
-        token: str,
         metrics: Metrics,
         monotonic: Callable[[], float],
         service_times: ServiceTimes,
         account_rates: AccountRates,
         claims: Claims,
     ) -> None:
-        self.directory = directory
+        self.view = view
         self.owner = owner
-        self.connections = connections
+        self.remote = remote
         self.tables = tables
         self.choose = choose
-        self.paths = paths
-        self.links = links
-        self.peers = peers
-        self.token = token
         self.metrics = metrics
         self.monotonic = monotonic
         self.service_times = service_times
         self.account_rates = account_rates
         self.claims = claims
-        self.load_by_target: dict[str, tuple[LoadReport, float]] = {}
         self.budget_by_pool: dict[str, RetryBudget] = {}
         self.recent_by_route: dict[str, deque[float]] = {}
         self.avoid_until_by_target: dict[str, float] = {}
@@ -234,7 +188,7 @@
 
 def _new_id(entry: Entry) -> str:
     entry.count += 1
-    own = entry.directory.own
+    own = entry.view.directory.own
     return f"{own.node}-{own.incarnation:x}-{entry.count:x}"
 
 
@@ -460,84 +414,11 @@
     return median(recent) if len(recent) >= MIN_BASELINE_SAMPLES else None
 
 
-def belongs(pool: Pool, node: NodeRecord, target: TargetRecord) -> bool:
-    """Whether a target is a member of a pool."""
-    return (
-        target.service == pool.service
-        and (not pool.failure_domains or node.failure_domain in pool.failure_domains)
-        and (not pool.allowed_vms or node.vm in pool.allowed_vms)
-        and node.vm not in pool.denied_vms
-    )
-
-
-def distance(own: NodeRecord, other: NodeRecord) -> int:
-    """Return 0 on the same VM, 1 in the domain, 2 in the region, else 3."""
-    if own.vm == other.vm:
-        return 0
-    if own.failure_domain == other.failure_domain:
-        return 1
-    return 2 if own.region == other.region else 3
-
-
-def candidates(entry: Entry, route: Route, pool: Pool) -> list[Candidate]:
-    """Return the targets of a pool that may take a request of a route now."""
-    now = entry.monotonic()
-    own = entry.directory.own
-    found = []
-    for node, target in _members(entry.directory, pool):
-        if node.state != "alive" or target.state != "ready":
-            continue
-        if "*" in target.ejected or route.name in target.ejected:
-            continue
-        load, load_at = _load(entry, node, target, now)
-        found.append(
-            Candidate(
-                target=target.target,
-                node=node.node,
-                distance=distance(own, node),
-                weight=pool.weight_by_domain.get(node.failure_domain, 1.0),
-                slots=min(target.slots, pool.slots or target.slots),
-                load=load,
-                load_age_s=now - load_at,
-                penalty_ms=_path_penalty_ms(entry, node.node),
-            )
-        )
-    return usable(entry.paths, found, pool.floor_slots)
-
-
-def _members(
-    directory: Directory, pool: Pool
-) -> Iterable[tuple[NodeRecord, TargetRecord]]:
-    """Return the targets of a pool, each at the owner it moved to last."""
-    newest_by_target: dict[str, tuple[NodeRecord, TargetRecord]] = {}
-    for node in directory.alive():
-        for target in node.targets:
-            if not belongs(pool, node, target):
-                continue
-            held = newest_by_target.get(target.target)
-            if held is None or target.epoch > held[1].epoch:
-                newest_by_target[target.target] = (node, target)
-    return newest_by_target.values()
-
-
-def _path_penalty_ms(entry: Entry, node: str) -> float:
-    down = link_up(entry.links, node) is False
-    return penalty_ms(entry.paths, node) + (LINK_DOWN_PENALTY_MS if down else 0.0)
-
-
-def _load(
-    entry: Entry, node: NodeRecord, target: TargetRecord, now: float
-) -> tuple[LoadReport | None, float]:
-    if node.node == entry.directory.own_node:
-        return load_of(entry.owner, target.target), now
-    return entry.load_by_target.get(target.target, (None, now))
-
-
 def _choose(
     entry: Entry, request: Request, attempted: list[Attempted]
 ) -> Candidate | None:
     tried = {attempt.target for attempt in attempted}
-    found = candidates(entry, request.route, request.pool)
+    found = candidates(entry.view, request.route, request.pool)
     left = [c for c in found if c.target not in tried]
     now = entry.monotonic()
     open_now = [
@@ -562,7 +443,7 @@
 ) -> AsyncIterator[Result[Answer, Refusal]]:
     """Open an attempt at the owner, which may be this process."""
     entry.count += 1
-    own = entry.directory.own
+    own = entry.view.directory.own
     attempt = AttemptRequest(
         attempt=f"{own.node}-{own.incarnation:x}-{entry.count:x}",
         target=candidate.target,
@@ -581,125 +462,16 @@
         ) as result:
             yield result
         return
-    node = entry.directory.record_by_node.get(candidate.node)
+    node = entry.view.directory.record_by_node.get(candidate.node)
     if node is None:
         yield Failure(not_run(Reason.PEER_UNREACHABLE, candidate.node))
         return
-    async with _open_remote(entry, inbound, request, attempt, node) as result:
+    async with open_remote_attempt(
+        entry.remote, node, attempt, request.head, inbound.body
+    ) as result:
         yield result
 
 
-@asynccontextmanager
-async def _open_remote(
-    entry: Entry,
-    inbound: Inbound,
-    request: Request,
-    attempt: AttemptRequest,
-    node: NodeRecord,
-) -> AsyncIterator[Result[Answer, Refusal]]:
-    add_attempt_headers(entry, attempt, request.head.headers)
-    idle_s = IDLE_MAX_S if attempt.idempotent else NON_IDEMPOTENT_IDLE_MAX_S
-    sent_at = entry.monotonic()
-    left_s = max(0.0, request.deadline - sent_at)
-    address = (node.host, node.peer_port)
-    async with open_connection(
-        entry.connections, address, max_idle_s=idle_s
-    ) as connected:
-        if isinstance(connected, Failure):
-            note_path_failure(entry.paths, node.node)
-            yield Failure(not_run(Reason.PEER_UNREACHABLE, node.node))
-            return
-        async with exchange(
-            connected.unwrap(),
-            request.head,
-            inbound.body,
-            first_byte_s=left_s,
-            check_after_s=first_byte_bound_s(entry.paths, attempt.route, left_s),
-            check=partial(_is_with_owner, entry, node, attempt),
-        ) as result:
-            if isinstance(result, Success):
-                took_s = entry.monotonic() - sent_at
-                note_answer(entry.paths, node.node, attempt.route, took_s)
-                yield _answer_or_refusal(entry, result.unwrap())
-                return
-            cause = result.failure().cause
-    # The connection is closed by now; the owner may still hold the attempt.
-    yield Failure(await _settle(entry, node, attempt.attempt, sent_at, cause))
-
-
-async def _is_with_owner(
-    entry: Entry, node: NodeRecord, attempt: AttemptRequest
-) -> bool:
-    """Ask over a new connection whether an attempt without an answer has arrived."""
-    state = await entry.peers.attempt_state(node, attempt.attempt)
-    if state is None:
-        note_path_failure(entry.paths, node.node)
-        # Nothing is known of the attempt, so only idempotent work goes elsewhere.
-        return not attempt.idempotent
-    if state == "running":
-        return True
-    if state == "ended":
-        # The answer may be on its way.
-        await asyncio.sleep(ANSWER_GRACE_S)
-    # The new connection works and the old one lost the request or its answer.
-    entry.connections.drop_address((node.host, node.peer_port))
-    return False
-
-
-def add_attempt_headers(
-    entry: Entry, attempt: AttemptRequest, headers: HTTPHeaders
-) -> None:
-    """Set the headers of an attempt on its way to another node."""
-    left_ms = int((attempt.deadline - entry.monotonic()) * 1000)
-    headers["Siskinlug-Token"] = entry.token
-    headers["Siskinlug-Attempt"] = attempt.attempt
-    headers["Siskinlug-Target"] = attempt.target
-    headers["Siskinlug-Route"] = attempt.route
-    headers["Siskinlug-Account"] = attempt.account
-    headers["Siskinlug-Priority"] = str(attempt.priority)
-    headers["Siskinlug-Work"] = "long" if attempt.long_work else "short"
-    headers["Siskinlug-Idempotent"] = "yes" if attempt.idempotent else "no"
-    headers["Siskinlug-Deadline-Ms"] = str(max(0, left_ms))
-    headers["Siskinlug-Fingerprint"] = attempt.fingerprint
-    if attempt.baseline_s is not None:
-        headers["Siskinlug-Baseline-Ms"] = f"{attempt.baseline_s * 1000:.2f}"
-    else:
-        # A retry may carry that of an earlier attempt.
-        drop_header(headers, "Siskinlug-Baseline-Ms")
-
-
-def _answer_or_refusal(entry: Entry, answer: Answer) -> Result[Answer, Refusal]:
-    load = decode_load(answer.headers.get("Siskinlug-Load", ""))
-    if load is not None:
-        entry.load_by_target[load.target] = (load, entry.monotonic())
-    verdict = answer.headers.get("Siskinlug-Verdict")
-    if verdict is None:
-        return Success(answer)
-    retry_after = answer.headers.get("Retry-After")
-    try:
-        refusal = Refusal(
-            Verdict(verdict),
-            Reason(answer.headers.get("Siskinlug-Reason", "internal")),
-            answer.headers.get("Siskinlug-Detail", ""),
-            float(retry_after) if retry_after else None,
-        )
-    except ValueError:
-        refusal = may_have_run(Reason.PEER_LOST, "malformed refusal")
-    return Failure(refusal)
-
-
-async def _settle(
-    entry: Entry, node: NodeRecord, attempt: str, sent_at: float, cause: str
-) -> Refusal:
-    """Ask the owner, over a new connection, what became of a lost attempt."""
-    if cause == "body_cut":
-        return may_have_run(Reason.CANCELLED)
-    if cause != "silent":
-        note_path_failure(entry.paths, node.node)
-    verdict = await entry.peers.cancel_attempt(node, attempt, sent_at)
-    return Refusal(verdict, Reason.PEER_LOST, f"{node.node}: {cause}")
-
-
 async def _pass_on(
     entry: Entry,
     inbound: Inbound,
--- a/siskinlug/node.py
+++ b/siskinlug/node.py
@@ -28,6 +28,7 @@
     accept_announcement,
 )
 from siskinlug.attempts import cancel, confirm, make_attempts, state_of
+from siskinlug.candidates import TargetView, note_load
 from siskinlug.choice import make_choice
 from siskinlug.claims import (
     ClaimsAnswer,
@@ -49,7 +50,7 @@
 from siskinlug.connections import make_pool
 from siskinlug.directory import NodeRecord
 from siskinlug.ejection import answer_promises
-from siskinlug.entry import Entry, EntryPeers, serve_caller
+from siskinlug.entry import Entry, serve_caller
 from siskinlug.inbound import InboundLimits, InboundServer, drain_server, open_server
 from siskinlug.links import link_up
 from siskinlug.log_client import open_log
@@ -76,7 +77,7 @@
     encode,
 )
 from siskinlug.metrics import make_metrics
-from siskinlug.owner import Owner, note_incarnation
+from siskinlug.owner import Owner, load_of, note_incarnation
 from siskinlug.paths import make_paths
 from siskinlug.peer_client import call_peer, make_peer_client
 from siskinlug.peer_server import MAX_MESSAGE_BYTES, Handler, make_peer_server
@@ -87,6 +88,7 @@
     make_quarantine,
     merge,
 )
+from siskinlug.remote_attempts import OwnerQueries, RemoteOwners
 from siskinlug.service_times import make_service_times
 from siskinlug.settings import Settings
 from siskinlug.supervisor import supervise
@@ -186,16 +188,27 @@
             monotonic=self.monotonic,
             wall_ms=wall_clock_ms,
         )
-        self.entry = Entry(
+        paths = make_paths(monotonic=self.monotonic)
+        view = TargetView(
             directory=self.membership.directory,
+            paths=paths,
+            links=self.membership.links,
+            own_load=partial(load_of, self.owner),
+            monotonic=self.monotonic,
+        )
+        self.entry = Entry(
+            view=view,
             owner=self.owner,
-            connections=self.connections,
+            remote=RemoteOwners(
+                connections=self.connections,
+                paths=paths,
+                queries=OwnerQueries(self._cancel_attempt, self._attempt_state),
+                note_load=partial(note_load, view),
+                token=settings.token,
+                monotonic=self.monotonic,
+            ),
             tables=self.tables,
             choose=make_choice(random=random),
-            paths=make_paths(monotonic=self.monotonic),
-            links=self.membership.links,
-            peers=EntryPeers(self._cancel_attempt, self._attempt_state),
-            token=settings.token,
             metrics=self.metrics,
             monotonic=self.monotonic,
             service_times=make_service_times(monotonic=self.monotonic),
@@ -460,7 +473,7 @@
             "/tables": tables_page(node.tables),
             "/configuration": configuration_page(node.configuration),
             "/timeline": timeline_page(node.timeline),
-            "/explain": explain_page(node.entry),
+            "/explain": explain_page(node.entry.view, node.tables),
         }
     )
     peer = make_peer_server(
--- a/siskinlug/watch.py
+++ b/siskinlug/watch.py
@@ -15,6 +15,7 @@
     drop_expired,
     target_records,
 )
+from siskinlug.candidates import belongs
 from siskinlug.connections import ConnectionPool
 from siskinlug.directory import Directory, TargetRecord
 from siskinlug.ejection import (
@@ -28,7 +29,6 @@
     make_ejection,
     run_ejection,
 )
-from siskinlug.entry import belongs
 from siskinlug.probes import probe
 from siskinlug.tables import Pool, Tables
 from siskinlug.timeline import Kind, Timeline, record
