--- a/siskinlug/directory.py
+++ b/siskinlug/directory.py
@@ -55,7 +55,7 @@
 
 
 class Mark(NamedTuple):
-    """A record without its content, about 45 bytes as JSON instead of 600.
+    """A record without its content, about 40 bytes as JSON instead of 600.
 
     Attributes:
         node: Node id.
