Count only a refused connection as a crash; join and stop as membership asks

A connect that timed out also counted as a crash of its target, so a lost path could quarantine a request. Nodes write their address to the members stream and join through it without seeds; a process whose name a newer one took over stops.

--- a/siskinlug/connections.py
+++ b/siskinlug/connections.py
@@ -30,10 +30,17 @@
 
 
 class ConnectFailure(NamedTuple):
-    """No connection could be opened; nothing was written."""
+    """No connection could be opened; nothing was written.
+
+    Attributes:
+        address: Host and port.
+        cause: What happened, for a person.
+        refused: Whether the peer's VM answered that nothing listens there.
+    """
 
     address: Address
     cause: str
+    refused: bool
 
 
 class Connection:
@@ -143,10 +150,12 @@
                 address[0], address[1], timeout=timedelta(seconds=timeout_s)
             )
         except TimeoutError:
-            yield Failure(ConnectFailure(address, "timeout"))
+            yield Failure(ConnectFailure(address, "timeout", False))
             return
         except (OSError, StreamClosedError) as error:
-            yield Failure(ConnectFailure(address, str(error) or "refused"))
+            cause = getattr(error, "real_error", None) or error
+            refused = isinstance(cause, ConnectionRefusedError)
+            yield Failure(ConnectFailure(address, str(cause), refused))
             return
         stream.set_nodelay(True)
         _watch_peer(stream)
--- a/siskinlug/daemon.py
+++ b/siskinlug/daemon.py
@@ -12,7 +12,7 @@
 from returns.result import Failure
 
 from siskinlug.logs import configure_logs, log_event
-from siskinlug.node import PortError, leave, make_node, open_node
+from siskinlug.node import Node, PortError, leave, make_node, open_node
 from siskinlug.settings import Settings, load_settings
 
 EXIT_OK = 0
@@ -47,6 +47,18 @@
             loop.remove_signal_handler(number)
 
 
+async def _wait_for_stop(node: Node, stop: asyncio.Event) -> None:
+    """Wait for a signal, or for another process that runs under the same name."""
+    waits = [
+        asyncio.create_task(event.wait()) for event in (stop, node.membership.replaced)
+    ]
+    await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    for wait in waits:
+        wait.cancel()
+    if node.membership.replaced.is_set():
+        log_event("replaced", write=logging.error, name=node.settings.name)
+
+
 async def run_daemon(settings: Settings) -> int:
     """Run a node until it is told to stop.
 
@@ -63,7 +75,7 @@
     node = make_node(settings)
     with _signals(stop, stop_now):
         async with open_node(node):
-            await stop.wait()
+            await _wait_for_stop(node, stop)
             leaving = asyncio.create_task(leave(node, timeout_s=settings.limits.stop_s))
             forced = asyncio.create_task(stop_now.wait())
             await asyncio.wait({leaving, forced}, return_when=asyncio.FIRST_COMPLETED)
--- a/siskinlug/node.py
+++ b/siskinlug/node.py
@@ -1,7 +1,8 @@
 """One node: builds the state of all roles and connects them."""
 
+import asyncio
 import time
-from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping, Sequence
 from contextlib import AsyncExitStack, asynccontextmanager
 from functools import partial
 from random import Random
@@ -47,7 +48,7 @@
     note_position,
 )
 from siskinlug.configuration import position_of
-from siskinlug.connections import make_pool
+from siskinlug.connections import Address, make_pool
 from siskinlug.directory import NodeRecord
 from siskinlug.ejection import answer_promises
 from siskinlug.entry import Entry, serve_caller
@@ -111,6 +112,10 @@
 # Time to answer on kept connections with ``Connection: close`` before they close.
 LEAVE_QUIET_S = 0.5
 CANCEL_TIMEOUT_S = 1.0
+MEMBERS_STREAM = "members"
+# 430 nodes write 1.4 records/s; the log must keep records for longer than this.
+MEMBER_WRITE_S = 300.0
+MEMBERS_READ = 64
 PROMISES_PATH = "/peer/promises"
 CLAIMS_PATH = "/peer/claims"
 CONFIGURATION_PATH = "/peer/configuration"
@@ -159,6 +164,7 @@
             monotonic=self.monotonic,
             random=random,
             seeds=[_address(peer) for peer in settings.peers],
+            read_members=self._read_members,
             on_silent=self.connections.drop_address,
             payloads=[
                 Payload(
@@ -242,6 +248,19 @@
     async def _call(self, *args: Any, **options: Any) -> Any:
         return await call_peer(self.peer_client, *args, **options)
 
+    async def _read_members(self) -> Sequence[Address]:
+        """Read the addresses that nodes wrote to the log, newest first."""
+        end = await self.log.read(MEMBERS_STREAM, 0, limit=1)
+        if isinstance(end, Failure):
+            return ()
+        start = max(end.unwrap().first, end.unwrap().next - MEMBERS_READ)
+        page = await self.log.read(MEMBERS_STREAM, start, limit=MEMBERS_READ)
+        if isinstance(page, Failure):
+            return ()
+        newest_first = reversed(page.unwrap().records)
+        found = [member_address(entry.record) for entry in newest_first]
+        return list(dict.fromkeys(address for address in found if address))
+
     def _limits_of(self, announcement: Announcement) -> AdmissionLimits:
         """Limits of a target from the pools that take its service."""
         pools = [
@@ -318,6 +337,23 @@
         return result.unwrap()["state"] if isinstance(result, Success) else None
 
 
+def member_address(entry: Any) -> Address | None:
+    """Return the address in a record of the ``members`` stream, if it is one."""
+    try:
+        return str(entry["host"]), int(entry["port"])
+    except (KeyError, TypeError, ValueError):
+        return None
+
+
+async def _write_member(node: Node) -> None:
+    """Write this node's address to the log, for nodes that start without seeds."""
+    while True:
+        own = node.membership.directory.own
+        entry = {"node": own.node, "host": own.host, "port": own.peer_port}
+        await node.log.append(MEMBERS_STREAM, entry)
+        await asyncio.sleep(MEMBER_WRITE_S * node.random.uniform(0.8, 1.2))
+
+
 def _address(text: str) -> tuple[str, int]:
     host, _, port = text.rpartition(":")
     return host, int(port)
@@ -431,7 +467,11 @@
         return _announce(node, message)
 
     async def cancel_attempt(message: CancelRequest) -> CancelAnswer:
-        verdict = cancel(node.attempts, message["attempt"], message["incarnation"])
+        # The incarnation rises once if an earlier process had a clock ahead of ours.
+        incarnation = message["incarnation"]
+        if incarnation == node.membership.directory.own.incarnation:
+            incarnation = node.incarnation
+        verdict = cancel(node.attempts, message["attempt"], incarnation)
         return CancelAnswer(verdict=verdict.value)
 
     async def configuration(body: bytes) -> bytes:
@@ -534,6 +574,7 @@
         PortError: A port is taken; nothing is left listening.
     """
     jobs = {
+        "members": lambda: _write_member(node),
         "configuration": lambda: _follow_configuration(node),
         "membership": lambda: run_membership(node.membership),
         "targets": lambda: run_watch(node.watch),
--- a/siskinlug/owner.py
+++ b/siskinlug/owner.py
@@ -288,8 +288,10 @@
             # With the deadline near, the time to connect ends too early to tell.
             if not timed_out or left_s >= CONNECT_TIMEOUT_S:
                 _observe(run, ok=False, hard=True)
-            note_incarnation(owner, request.target, None)
-            detail = f"{request.target}: {connected.failure().cause}"
+            failure = connected.failure()
+            if failure.refused:
+                note_incarnation(owner, request.target, None)
+            detail = f"{request.target}: {failure.cause}"
             yield Failure(not_run(Reason.TARGET_UNREACHABLE, detail))
             return
         connection = connected.unwrap()
--- a/tests/test_process_configuration.py
+++ b/tests/test_process_configuration.py
@@ -6,7 +6,7 @@
 import testtools
 from testtools.matchers import Equals
 
-from bench.fleet import LOG_PORT, Fleet, call, open_fleet, wait_until
+from bench.fleet import LOG_PORT, Fleet, NodeSpec, call, open_fleet, wait_until
 from siskinlug.log_client import open_log
 from siskinlug.publishing import Outcome, publish
 from tests.fleet_load import ROUTES, start_small_fleet
@@ -91,3 +91,8 @@
             "the restarted node serves",
         )
         self._switch_log(b'{"down": "no"}')
+
+    def test_node_without_seeds_joins_through_the_log(self) -> None:
+        """Guards against a node that is lost when no seed of its settings is left."""
+        self.fleet.start_node(NodeSpec(4, "domain-1"), seeds=())
+        self.fleet.wait_joined(targets=3)
