--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -3,7 +3,7 @@
 import asyncio
 import http.client
 import json
-import os
+import random
 import signal
 import subprocess
 import sys
@@ -161,9 +161,9 @@
 
     def __init__(self, folder: Path) -> None:
         self.folder = folder
-        # An address range for each fleet keeps the well-known ports free of clashes.
-        number = os.getpid() % 60_000 + int.from_bytes(os.urandom(1)) % 256
-        self.prefix = f"127.{20 + number // 250 % 200}.{number % 250}"
+        # A random address range for each fleet keeps the well-known ports free of
+        # clashes between fleets that run at the same time (one in 60,000).
+        self.prefix = f"127.{random.randrange(16, 250)}.{random.randrange(256)}"
         self.process_by_name: dict[str, Process] = {}
         self.nodes: list[NodeSpec] = []
 
--- a/tests/test_process_ejection.py
+++ b/tests/test_process_ejection.py
@@ -26,7 +26,7 @@
         manager = open_fleet()
         self.fleet: Fleet = manager.__enter__()
         self.addCleanup(manager.__exit__, None, None, None)
-        start_small_fleet(self.fleet, nodes=len(NODES))
+        start_small_fleet(self.fleet, nodes=len(NODES), targets=NODES)
 
     def _faults(self, node: int, body: bytes) -> None:
         reply = call(
