--- a/siskinlug/node.py
+++ b/siskinlug/node.py
@@ -1,8 +1,10 @@
 """One node: builds the state of all roles and connects them."""
 
+import asyncio
 import time
-from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping, Sequence
 from contextlib import AsyncExitStack, asynccontextmanager
+from functools import partial
 from random import Random
 from typing import Any, TypeVar
 
@@ -27,6 +29,7 @@
     accept_announcement,
 )
 from siskinlug.attempts import cancel, confirm, make_attempts, state_of
+from siskinlug.candidates import TargetView, note_load
 from siskinlug.choice import make_choice
 from siskinlug.claims import (
     ClaimsAnswer,
@@ -45,10 +48,10 @@
     note_position,
 )
 from siskinlug.configuration import position_of
-from siskinlug.connections import make_pool
+from siskinlug.connections import Address, make_pool
 from siskinlug.directory import NodeRecord
 from siskinlug.ejection import answer_promises
-from siskinlug.entry import Entry, EntryPeers, serve_caller
+from siskinlug.entry import Entry, serve_caller
 from siskinlug.inbound import InboundLimits, InboundServer, drain_server, open_server
 from siskinlug.links import link_up
 from siskinlug.log_client import open_log
@@ -75,7 +78,7 @@
     encode,
 )
 from siskinlug.metrics import make_metrics
-from siskinlug.owner import Owner, note_incarnation
+from siskinlug.owner import Owner, load_of, note_incarnation
 from siskinlug.paths import make_paths
 from siskinlug.peer_client import call_peer, make_peer_client
 from siskinlug.peer_server import MAX_MESSAGE_BYTES, Handler, make_peer_server
@@ -86,6 +89,7 @@
     make_quarantine,
     merge,
 )
+from siskinlug.remote_attempts import OwnerQueries, RemoteOwners
 from siskinlug.service_times import make_service_times
 from siskinlug.settings import Settings
 from siskinlug.supervisor import supervise
@@ -108,6 +112,10 @@
 # Time to answer on kept connections with ``Connection: close`` before they close.
 LEAVE_QUIET_S = 0.5
 CANCEL_TIMEOUT_S = 1.0
+MEMBERS_STREAM = "members"
+# 430 nodes write 1.4 records/s; the log must keep records for longer than this.
+MEMBER_WRITE_S = 300.0
+MEMBERS_READ = 64
 PROMISES_PATH = "/peer/promises"
 CLAIMS_PATH = "/peer/claims"
 CONFIGURATION_PATH = "/peer/configuration"
@@ -156,6 +164,7 @@
             monotonic=self.monotonic,
             random=random,
             seeds=[_address(peer) for peer in settings.peers],
+            read_members=self._read_members,
             on_silent=self.connections.drop_address,
             payloads=[
                 Payload(
@@ -185,16 +194,27 @@
             monotonic=self.monotonic,
             wall_ms=wall_clock_ms,
         )
-        self.entry = Entry(
+        paths = make_paths(monotonic=self.monotonic)
+        view = TargetView(
             directory=self.membership.directory,
+            paths=paths,
+            links=self.membership.links,
+            own_load=partial(load_of, self.owner),
+            monotonic=self.monotonic,
+        )
+        self.entry = Entry(
+            view=view,
             owner=self.owner,
-            connections=self.connections,
+            remote=RemoteOwners(
+                connections=self.connections,
+                paths=paths,
+                queries=OwnerQueries(self._cancel_attempt, self._attempt_state),
+                note_load=partial(note_load, view),
+                token=settings.token,
+                monotonic=self.monotonic,
+            ),
             tables=self.tables,
             choose=make_choice(random=random),
-            paths=make_paths(monotonic=self.monotonic),
-            links=self.membership.links,
-            peers=EntryPeers(self._cancel_attempt, self._attempt_state),
-            token=settings.token,
             metrics=self.metrics,
             monotonic=self.monotonic,
             service_times=make_service_times(monotonic=self.monotonic),
@@ -228,6 +248,19 @@
     async def _call(self, *args: Any, **options: Any) -> Any:
         return await call_peer(self.peer_client, *args, **options)
 
+    async def _read_members(self) -> Sequence[Address]:
+        """Read the addresses that nodes wrote to the log, newest first."""
+        end = await self.log.read(MEMBERS_STREAM, 0, limit=1)
+        if isinstance(end, Failure):
+            return ()
+        start = max(end.unwrap().first, end.unwrap().next - MEMBERS_READ)
+        page = await self.log.read(MEMBERS_STREAM, start, limit=MEMBERS_READ)
+        if isinstance(page, Failure):
+            return ()
+        newest_first = reversed(page.unwrap().records)
+        found = [member_address(entry.record) for entry in newest_first]
+        return list(dict.fromkeys(address for address in found if address))
+
     def _limits_of(self, announcement: Announcement) -> AdmissionLimits:
         """Limits of a target from the pools that take its service."""
         pools = [
@@ -304,6 +337,23 @@
         return result.unwrap()["state"] if isinstance(result, Success) else None
 
 
+def member_address(entry: Any) -> Address | None:
+    """Return the address in a record of the ``members`` stream, if it is one."""
+    try:
+        return str(entry["host"]), int(entry["port"])
+    except (KeyError, TypeError, ValueError):
+        return None
+
+
+async def _write_member(node: Node) -> None:
+    """Write this node's address to the log, for nodes that start without seeds."""
+    while True:
+        own = node.membership.directory.own
+        entry = {"node": own.node, "host": own.host, "port": own.peer_port}
+        await node.log.append(MEMBERS_STREAM, entry)
+        await asyncio.sleep(MEMBER_WRITE_S * node.random.uniform(0.8, 1.2))
+
+
 def _address(text: str) -> tuple[str, int]:
     host, _, port = text.rpartition(":")
     return host, int(port)
@@ -417,7 +467,11 @@
         return _announce(node, message)
 
     async def cancel_attempt(message: CancelRequest) -> CancelAnswer:
-        verdict = cancel(node.attempts, message["attempt"], message["incarnation"])
+        # The incarnation rises once if an earlier process had a clock ahead of ours.
+        incarnation = message["incarnation"]
+        if incarnation == node.membership.directory.own.incarnation:
+            incarnation = node.incarnation
+        verdict = cancel(node.attempts, message["attempt"], incarnation)
         return CancelAnswer(verdict=verdict.value)
 
     async def configuration(body: bytes) -> bytes:
@@ -459,7 +513,7 @@
             "/tables": tables_page(node.tables),
             "/configuration": configuration_page(node.configuration),
             "/timeline": timeline_page(node.timeline),
-            "/explain": explain_page(node.entry),
+            "/explain": explain_page(node.entry.view, node.tables),
         }
     )
     peer = make_peer_server(
@@ -490,12 +544,20 @@
     ):
         try:
             node.server_by_port[name] = open_server(
-                server, host=host, port=port, limits=bounds
+                server,
+                host=host,
+                port=port,
+                limits=bounds,
+                on_limit=partial(_count_limit, node, name),
             )
         except OSError as error:
             raise PortError(name, f"{host}:{port}: {error.strerror}") from error
 
 
+def _count_limit(node: Node, port: str, limit: str) -> None:
+    node.metrics.limits.add(1, {"port": port, "limit": limit})
+
+
 class PortError(Exception):
     """A port from the settings cannot be opened."""
 
@@ -512,6 +574,7 @@
         PortError: A port is taken; nothing is left listening.
     """
     jobs = {
+        "members": lambda: _write_member(node),
         "configuration": lambda: _follow_configuration(node),
         "membership": lambda: run_membership(node.membership),
         "targets": lambda: run_watch(node.watch),
