--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -107,7 +107,10 @@
 
 class PageTest(testtools.TestCase):
     def test_the_page_shows_the_recorded_figures(self) -> None:
-        """Guards against a page that tells other figures than were measured."""
+        """Guards against a page that tells other figures or bounds than there are.
+
+        ``python -m bench.capacity_page`` writes it again after a bound changed.
+        """
         text = PAGE.read_text("utf-8")
         self.assertThat(render(text, load_results()), Equals(text))
         for name in TABLES:
