--- a/siskinlug/daemon.py
+++ b/siskinlug/daemon.py
@@ -12,7 +12,8 @@
 from returns.result import Failure
 
 from siskinlug.logs import configure_logs, log_event
-from siskinlug.node import Node, PortError, leave, make_node, open_node
+from siskinlug.node import Node, make_node
+from siskinlug.serving import PortError, leave, open_node
 from siskinlug.settings import Settings, load_settings
 
 EXIT_OK = 0
--- a/siskinlug/node.py
+++ b/siskinlug/node.py
@@ -1,49 +1,30 @@
 """One node: builds the state of all roles and connects them."""
 
-import asyncio
 import time
-from collections.abc import AsyncIterator, Awaitable, Callable, Mapping, Sequence
-from contextlib import AsyncExitStack, asynccontextmanager
+from collections.abc import Callable, Sequence
 from functools import partial
 from random import Random
-from typing import Any, TypeVar
+from typing import Any
 
-import msgspec
-from absl import logging
 from returns.result import Failure, Success
 
 from siskinlug.account_rates import make_account_rates
-from siskinlug.admin import (
-    explain_page,
-    make_admin_app,
-    nodes_page,
-    tables_page,
-    targets_page,
-    timeline_page,
-)
-from siskinlug.admission import close, resize
+from siskinlug.admission import resize
 from siskinlug.announcements import (
-    INTERVAL_S,
     AdmissionLimits,
     OwnedTargets,
-    accept_announcement,
 )
-from siskinlug.attempts import cancel, confirm, make_attempts, state_of
+from siskinlug.attempts import confirm, make_attempts
 from siskinlug.candidates import TargetView, note_load
 from siskinlug.choice import make_choice
 from siskinlug.claims import (
     ClaimsAnswer,
     ClaimsRequest,
-    close_claims,
     home_node,
     make_claims,
-    serve_claims,
 )
 from siskinlug.clock import HybridClock, wall_clock_ms
 from siskinlug.config_sync import (
-    answer_configuration,
-    configuration_page,
-    follow_configuration,
     make_configuration,
     note_position,
 )
@@ -51,37 +32,28 @@
 from siskinlug.connections import Address, make_pool
 from siskinlug.directory import NodeRecord
 from siskinlug.ejection import answer_promises
-from siskinlug.entry import Entry, serve_caller
-from siskinlug.inbound import InboundLimits, InboundServer, drain_server, open_server
+from siskinlug.entry import Entry
+from siskinlug.inbound import InboundServer
 from siskinlug.links import link_up
 from siskinlug.log_client import open_log
-from siskinlug.logs import log_event
 from siskinlug.membership import (
     Payload,
-    announce_leaving,
     change_own,
-    depart,
-    make_handlers,
     make_membership,
     push_payload,
-    run_membership,
 )
 from siskinlug.messages import (
     Announcement,
-    AnnouncementAnswer,
     AttemptQuery,
     AttemptState,
     CancelAnswer,
     CancelRequest,
     Position,
-    decode,
-    encode,
 )
 from siskinlug.metrics import make_metrics
 from siskinlug.owner import Owner, load_of, note_incarnation
 from siskinlug.paths import make_paths
 from siskinlug.peer_client import call_peer, make_peer_client
-from siskinlug.peer_server import MAX_MESSAGE_BYTES, Handler, make_peer_server
 from siskinlug.promises import PromiseAnswer, PromiseRequest
 from siskinlug.quarantine import (
     Suspicion,
@@ -92,36 +64,22 @@
 from siskinlug.remote_attempts import OwnerQueries, RemoteOwners
 from siskinlug.service_times import make_service_times
 from siskinlug.settings import Settings
-from siskinlug.supervisor import supervise
 from siskinlug.tables import Tables
-from siskinlug.timeline import Kind, Timeline, record
-from siskinlug.verdict import Reason, Verdict
+from siskinlug.timeline import Timeline
+from siskinlug.verdict import Verdict
 from siskinlug.watch import (
     Watch,
     is_ejected,
     probe_target,
-    publish_targets,
-    run_watch,
 )
 
-PEER_IDLE_S = 60.0
-PEER_BODY_S = 3600.0
-PEER_CONNECTIONS = 4096
-ADMIN_HEADER_BYTES = 16_384
-ALTERNATIVES = 3
-# Time to answer on kept connections with ``Connection: close`` before they close.
-LEAVE_QUIET_S = 0.5
 CANCEL_TIMEOUT_S = 1.0
 MEMBERS_STREAM = "members"
-# 430 nodes write 1.4 records/s; the log must keep records for longer than this.
-MEMBER_WRITE_S = 300.0
 MEMBERS_READ = 64
 PROMISES_PATH = "/peer/promises"
 CLAIMS_PATH = "/peer/claims"
 CONFIGURATION_PATH = "/peer/configuration"
 
-MessageT = TypeVar("MessageT")
-
 
 class Node:
     """State of one node; ``open_node`` starts and stops what works on it."""
@@ -345,15 +303,6 @@
         return None
 
 
-async def _write_member(node: Node) -> None:
-    """Write this node's address to the log, for nodes that start without seeds."""
-    while True:
-        own = node.membership.directory.own
-        entry = {"node": own.node, "host": own.host, "port": own.peer_port}
-        await node.log.append(MEMBERS_STREAM, entry)
-        await asyncio.sleep(MEMBER_WRITE_S * node.random.uniform(0.8, 1.2))
-
-
 def _address(text: str) -> tuple[str, int]:
     host, _, port = text.rpartition(":")
     return host, int(port)
@@ -376,51 +325,6 @@
         )
 
 
-def _announce(node: Node, message: Announcement) -> AnnouncementAnswer:
-    alive = [peer for peer in node.membership.others() if peer.state == "alive"]
-    # Targets renew each second, so only the few that are named are drawn.
-    drawn = node.random.sample(alive, min(ALTERNATIVES, len(alive)))
-    alternatives = [f"{peer.host}:{peer.peer_port}" for peer in drawn]
-    if node.owner.leaving:
-        # A lease of 0 sends the target to another node at once.
-        return AnnouncementAnswer(
-            lease_s=0.0, interval_s=INTERVAL_S, alternatives=alternatives
-        )
-    known = message["target"] in node.targets.owned_by_target
-    accepted = accept_announcement(node.targets, message, alternatives=alternatives)
-    if isinstance(accepted, Failure):
-        raise ValueError(accepted.failure())
-    if not known:
-        detail = f"{message['service']}, {message['slots']} slots"
-        record(node.timeline, Kind.TARGET_ANNOUNCED, message["target"], detail)
-    note_incarnation(node.owner, message["target"], message["incarnation"])
-    publish_targets(node.watch)
-    return accepted.unwrap()
-
-
-async def _follow_configuration(node: Node) -> None:
-    async def fetch(peer: str, position: Position) -> bytes | None:
-        found = node.membership.directory.record_by_node.get(peer)
-        if found is None:
-            return None
-        result: Any = await call_peer(
-            node.peer_client,
-            (found.host, found.peer_port),
-            CONFIGURATION_PATH,
-            position,
-            msgspec.Raw,
-        )
-        return bytes(result.unwrap()) if isinstance(result, Success) else None
-
-    await follow_configuration(
-        node.configuration,
-        node.log,
-        fetch=fetch,
-        push=lambda: push_payload(node.membership, "configuration"),
-        nodes=lambda: 1 + len(node.membership.others()),
-    )
-
-
 def _make_watch(node: Node) -> Watch:
     async def call_promises(peer: str, request: PromiseRequest) -> PromiseAnswer | None:
         if peer == node.settings.name:
@@ -451,175 +355,3 @@
         task_by_target={},
         on_expired=lambda target: note_incarnation(node.owner, target, None),
     )
-
-
-def _message_handler(
-    message_type: type[MessageT], handle: Callable[[MessageT], Awaitable[Any]]
-) -> Handler:
-    async def handler(body: bytes) -> bytes:
-        return encode(await handle(decode(body, message_type)))
-
-    return handler
-
-
-def _handlers(node: Node) -> Mapping[str, Handler]:
-    async def announce(message: Announcement) -> AnnouncementAnswer:
-        return _announce(node, message)
-
-    async def cancel_attempt(message: CancelRequest) -> CancelAnswer:
-        # The incarnation rises once if an earlier process had a clock ahead of ours.
-        incarnation = message["incarnation"]
-        if incarnation == node.membership.directory.own.incarnation:
-            incarnation = node.incarnation
-        verdict = cancel(node.attempts, message["attempt"], incarnation)
-        return CancelAnswer(verdict=verdict.value)
-
-    async def configuration(body: bytes) -> bytes:
-        return answer_configuration(node.configuration, body)
-
-    async def promise(message: PromiseRequest) -> PromiseAnswer:
-        return answer_promises(node.watch.ejection_by_target, message)
-
-    async def attempt_state(message: AttemptQuery) -> AttemptState:
-        return AttemptState(state=state_of(node.attempts, message["attempt"]))
-
-    async def claims(message: ClaimsRequest) -> ClaimsAnswer:
-        return await serve_claims(node.claims, message)
-
-    handler_by_path = {
-        CLAIMS_PATH: _message_handler(ClaimsRequest, claims),
-        "/peer/attempts/state": _message_handler(AttemptQuery, attempt_state),
-        CONFIGURATION_PATH: configuration,
-        PROMISES_PATH: _message_handler(PromiseRequest, promise),
-        "/announce": _message_handler(Announcement, announce),
-        "/peer/attempts/cancel": _message_handler(CancelRequest, cancel_attempt),
-    }
-    for path, handler in make_handlers(node.membership).items():
-        handler_by_path[path] = _message_handler(handler.message_type, handler.handle)
-    return handler_by_path
-
-
-def _open_servers(node: Node) -> None:
-    settings, limits = node.settings, node.settings.limits
-    directory = node.membership.directory
-
-    async def serve(inbound: Any) -> None:
-        await serve_caller(node.entry, inbound)
-
-    admin = make_admin_app(
-        {
-            "/nodes": nodes_page(directory),
-            "/targets": targets_page(directory),
-            "/tables": tables_page(node.tables),
-            "/configuration": configuration_page(node.configuration),
-            "/timeline": timeline_page(node.timeline),
-            "/explain": explain_page(node.entry.view, node.tables),
-        }
-    )
-    peer = make_peer_server(
-        node.owner, token=settings.token, handler_by_path=_handlers(node)
-    )
-    caller_limits = InboundLimits(
-        header_bytes=limits.header_bytes,
-        body_bytes=limits.body_bytes,
-        replay_bytes=limits.replay_bytes,
-        idle_s=limits.caller_idle_s,
-        body_s=limits.caller_body_s,
-        connections=limits.caller_connections,
-    )
-    # Attempts carry the caller's head and more headers of the entry.
-    peer_limits = InboundLimits(
-        header_bytes=limits.header_bytes + 4096,
-        body_bytes=max(limits.body_bytes, MAX_MESSAGE_BYTES),
-        replay_bytes=max(limits.replay_bytes, MAX_MESSAGE_BYTES),
-        idle_s=PEER_IDLE_S,
-        body_s=PEER_BODY_S,
-        connections=PEER_CONNECTIONS,
-    )
-    admin_limits = peer_limits._replace(header_bytes=ADMIN_HEADER_BYTES)
-    for name, host, port, server, bounds in (
-        ("peer_port", settings.host, settings.peer_port, peer, peer_limits),
-        ("admin_port", settings.admin_host, settings.admin_port, admin, admin_limits),
-        ("caller_port", settings.host, settings.caller_port, serve, caller_limits),
-    ):
-        try:
-            node.server_by_port[name] = open_server(
-                server,
-                host=host,
-                port=port,
-                limits=bounds,
-                on_limit=partial(_count_limit, node, name),
-            )
-        except OSError as error:
-            raise PortError(name, f"{host}:{port}: {error.strerror}") from error
-
-
-def _count_limit(node: Node, port: str, limit: str) -> None:
-    node.metrics.limits.add(1, {"port": port, "limit": limit})
-
-
-class PortError(Exception):
-    """A port from the settings cannot be opened."""
-
-    def __init__(self, key: str, problem: str) -> None:
-        super().__init__(problem)
-        self.key = key
-
-
-@asynccontextmanager
-async def open_node(node: Node) -> AsyncIterator[None]:
-    """Listen on the node's ports and run its tasks inside the block.
-
-    Raises:
-        PortError: A port is taken; nothing is left listening.
-    """
-    jobs = {
-        "members": lambda: _write_member(node),
-        "configuration": lambda: _follow_configuration(node),
-        "membership": lambda: run_membership(node.membership),
-        "targets": lambda: run_watch(node.watch),
-    }
-    async with AsyncExitStack() as stack:
-        stack.callback(node.connections.close)
-        stack.push_async_callback(close_claims, node.claims)
-        stack.callback(_stop_listening, node)
-        _open_servers(node)
-        await stack.enter_async_context(supervise(jobs))
-        record(node.timeline, Kind.NODE_STARTED, node.settings.name)
-        ports = {name: server.port for name, server in node.server_by_port.items()}
-        log_event("listening", ports=ports)
-        yield
-
-
-def _stop_listening(node: Node) -> None:
-    for server in node.server_by_port.values():
-        if server.http is not None:
-            server.http.stop()
-
-
-async def leave(node: Node, *, timeout_s: float) -> int:
-    """Leave the fleet: no new work, and everything in flight is finished.
-
-    Args:
-        node: The node.
-        timeout_s: Time for what is in flight, in seconds.
-
-    Returns:
-        Requests that were cut at the time limit.
-    """
-    record(node.timeline, Kind.NODE_STOPPING, node.settings.name)
-    node.owner.leaving = True
-    announce_leaving(node.membership)
-    for owned in node.targets.owned_by_target.values():
-        close(owned.admission, Reason.NODE_LEAVING)
-    deadline = node.monotonic() + timeout_s
-    cut = 0
-    for name in ("caller_port", "peer_port"):
-        left_s = max(0.0, deadline - node.monotonic())
-        cut += await drain_server(
-            node.server_by_port[name], quiet_s=LEAVE_QUIET_S, timeout_s=left_s
-        )
-    await depart(node.membership)
-    if cut:
-        log_event("stop_limit_hit", write=logging.error, requests_cut=cut)
-    return cut
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -15,7 +15,8 @@
 from siskinlug.ejection import TargetStatus, make_ejection, run_ejection
 from siskinlug.evidence import Outcome, make_evidence, observe
 from siskinlug.messages import Announcement
-from siskinlug.node import ALTERNATIVES, _announce, make_node
+from siskinlug.node import make_node
+from siskinlug.serving import ALTERNATIVES, take_announcement
 from siskinlug.settings import parse_settings
 
 SETTINGS = (
@@ -97,7 +98,7 @@
             )
             named: set[str] = set()
             for _ in range(50):
-                answer = _announce(node, message)
+                answer = take_announcement(node, message)
                 self.assertThat(len(set(answer["alternatives"])), Equals(ALTERNATIVES))
                 named.update(answer["alternatives"])
             self.assertThat(named, Equals(alive))
