--- a/siskinlug/clock.py
+++ b/siskinlug/clock.py
@@ -5,6 +5,8 @@
 from typing import NamedTuple
 
 _MS_PER_NS = 1_000_000
+# A clock further ahead than this is not followed.
+CLOCK_LEAD_MAX_MS = 60_000
 
 
 class Timestamp(NamedTuple):
@@ -38,3 +40,24 @@
     def observe(self, remote: Timestamp) -> None:
         """Move past a time received from another process."""
         self._last = max(self._last, Timestamp(*remote))
+
+
+def encode_timestamp(at: Timestamp) -> str:
+    """Encode a time as a header value."""
+    return f"{at.wall_ms},{at.counter}"
+
+
+def follow_clock(clock: HybridClock, remote: Timestamp) -> None:
+    """Move a clock past a remote time, unless that is too far ahead.
+
+    The events of a process whose clock is too far ahead sort wrongly instead.
+    """
+    if remote.wall_ms - clock.now().wall_ms <= CLOCK_LEAD_MAX_MS:
+        clock.observe(remote)
+
+
+def follow_header(clock: HybridClock, value: str | None) -> None:
+    """Follow the time in a header; a malformed or absent one is ignored."""
+    wall_ms, _, counter = (value or "").partition(",")
+    if wall_ms.isdecimal() and counter.isdecimal():
+        follow_clock(clock, Timestamp(int(wall_ms), int(counter)))
--- a/siskinlug/directory_sync.py
+++ b/siskinlug/directory_sync.py
@@ -4,6 +4,7 @@
 
 from returns.result import Success
 
+from siskinlug.clock import Timestamp, follow_clock
 from siskinlug.connections import Address
 from siskinlug.directory import (
     Directory,
@@ -14,7 +15,7 @@
     mark_order,
 )
 from siskinlug.membership_state import Membership, start_task
-from siskinlug.merging import merge_changes, observe_clock
+from siskinlug.merging import merge_changes
 from siskinlug.messages import SyncAnswer, SyncRequest
 from siskinlug.round_trips import SYNC
 from siskinlug.spreading import RECORDS_PER_PING
@@ -31,7 +32,7 @@
 def handle_sync(membership: Membership, message: SyncRequest) -> SyncAnswer:
     """Answer one step of a sync; see ``SyncRequest``."""
     directory = membership.directory
-    observe_clock(membership, message.at)
+    follow_clock(membership.clock, Timestamp(*message.at))
     few = len(message.records) <= RECORDS_PER_PING
     merge_changes(membership, message.marks, message.records, spread=few)
     if "*" in message.want:
@@ -85,7 +86,7 @@
         if not isinstance(result, Success):
             return None
         answer: SyncAnswer = result.unwrap()
-        observe_clock(membership, answer.at)
+        follow_clock(membership.clock, Timestamp(*answer.at))
         return answer
 
     now = membership.clock.now
--- a/siskinlug/joining.py
+++ b/siskinlug/joining.py
@@ -5,12 +5,13 @@
 from absl import logging
 from returns.result import Success
 
+from siskinlug.clock import Timestamp, follow_clock
 from siskinlug.connections import Address
 from siskinlug.directory_sync import SYNC_TIMEOUT_S, sync_with
 from siskinlug.heartbeats import ping_address
 from siskinlug.links import note_success
 from siskinlug.membership_state import Membership, draw_peers
-from siskinlug.merging import merge_changes, observe_clock
+from siskinlug.merging import merge_changes
 from siskinlug.messages import SyncAnswer, SyncRequest
 from siskinlug.round_trips import SYNC
 from siskinlug.spreading import push_node
@@ -59,7 +60,7 @@
         )
         if isinstance(result, Success):
             answer: SyncAnswer = result.unwrap()
-            observe_clock(membership, answer.at)
+            follow_clock(membership.clock, Timestamp(*answer.at))
             elapsed = membership.monotonic() - started
             note_success(membership.links, answer.node, elapsed)
             merge_changes(membership, answer.marks, answer.records, spread=False)
--- a/siskinlug/merging.py
+++ b/siskinlug/merging.py
@@ -5,7 +5,7 @@
 import msgspec
 from absl import logging
 
-from siskinlug.clock import Timestamp
+from siskinlug.clock import Timestamp, follow_clock
 from siskinlug.directory import (
     Mark,
     Merge,
@@ -30,8 +30,6 @@
 # Regions are partitioned for up to an hour, which is longer than FORGET_S.
 LOST_KEEP_S = 86_400.0
 LOST_MAX = 1024
-# A clock further ahead than this is not followed; its events sort wrongly instead.
-CLOCK_LEAD_MAX_MS = 60_000
 
 
 def handle_push(membership: Membership, message: Gossip) -> PushAnswer:
@@ -42,15 +40,9 @@
     return PushAnswer(membership.own_mark())
 
 
-def observe_clock(membership: Membership, at: tuple[int, int]) -> None:
-    """Move the clock past the time of a message, so that events order causally."""
-    if at[0] - membership.clock.now().wall_ms <= CLOCK_LEAD_MAX_MS:
-        membership.clock.observe(Timestamp(*at))
-
-
 def merge_gossip(membership: Membership, message: Gossip) -> dict[str, bool]:
     """Merge all that a message carries; returns what ``merge_changes`` returns."""
-    observe_clock(membership, message.at)
+    follow_clock(membership.clock, Timestamp(*message.at))
     sender = message.own.node
     if message.own.node == membership.directory.own_node:
         sender = ""
--- a/siskinlug/node.py
+++ b/siskinlug/node.py
@@ -169,6 +169,7 @@
                 queries=OwnerQueries(self._cancel_attempt, self._attempt_state),
                 note_load=partial(note_load, view),
                 token=settings.token,
+                clock=self.timeline.clock,
                 monotonic=self.monotonic,
             ),
             tables=self.tables,
--- a/siskinlug/peer_server.py
+++ b/siskinlug/peer_server.py
@@ -9,6 +9,7 @@
 from tornado.httputil import HTTPHeaders
 
 from siskinlug.body import BodyStream
+from siskinlug.clock import HybridClock, encode_timestamp, follow_header
 from siskinlug.inbound import Inbound, Serve, send_answer, stream_answer
 from siskinlug.load import encode_load
 from siskinlug.logs import log_event
@@ -32,13 +33,18 @@
 
 
 def make_peer_server(
-    owner: Owner, *, token: str, handler_by_path: Mapping[str, Handler]
+    owner: Owner,
+    *,
+    token: str,
+    clock: HybridClock,
+    handler_by_path: Mapping[str, Handler],
 ) -> Serve:
     """Build the function that serves one request on the port between nodes.
 
     Args:
         owner: The owner role, for attempts.
         token: Shared key.
+        clock: Hybrid clock, carried both ways on attempts.
         handler_by_path: Handlers of control messages.
     """
 
@@ -49,7 +55,7 @@
             )
             await send_answer(inbound, 401, HTTPHeaders(), b'{"error":"token"}')
         elif "Siskinlug-Attempt" in inbound.head.headers:
-            await serve_attempt(owner, inbound)
+            await serve_attempt(owner, clock, inbound)
         else:
             await _serve_message(handler_by_path, inbound)
 
@@ -81,31 +87,36 @@
     return body.kept
 
 
-async def serve_attempt(owner: Owner, inbound: Inbound) -> None:
+async def serve_attempt(owner: Owner, clock: HybridClock, inbound: Inbound) -> None:
     """Run an attempt that another node's entry sent and pass its answer back."""
+    follow_header(clock, inbound.head.headers.get("Siskinlug-At"))
     try:
         request = read_attempt(inbound.head.headers, owner.monotonic())
     except ValueError as error:
         refusal = not_run(Reason.BAD_REQUEST, str(error))
-        await _send_attempt_refusal(owner, inbound, refusal, "")
+        await _send_attempt_refusal(inbound, refusal, {})
         return
     async with open_attempt(owner, request, inbound.head, inbound.body) as result:
         if isinstance(result, Success):
-            extra = _load_header(owner, request.target)
+            extra = _answer_headers(owner, clock, request.target)
             await stream_answer(inbound, result.unwrap(), extra)
     if isinstance(result, Failure):
-        await _send_attempt_refusal(owner, inbound, result.failure(), request.target)
+        extra = _answer_headers(owner, clock, request.target)
+        await _send_attempt_refusal(inbound, result.failure(), extra)
 
 
-def _load_header(owner: Owner, target: str) -> dict[str, str]:
+def _answer_headers(owner: Owner, clock: HybridClock, target: str) -> dict[str, str]:
+    headers = {"Siskinlug-At": encode_timestamp(clock.now())}
     load = load_of(owner, target)
-    return {"Siskinlug-Load": encode_load(load)} if load else {}
+    if load is not None:
+        headers["Siskinlug-Load"] = encode_load(load)
+    return headers
 
 
 async def _send_attempt_refusal(
-    owner: Owner, inbound: Inbound, refusal: Refusal, target: str
+    inbound: Inbound, refusal: Refusal, extra: Mapping[str, str]
 ) -> None:
-    headers = HTTPHeaders(_load_header(owner, target))
+    headers = HTTPHeaders(extra)
     headers["Siskinlug-Verdict"] = refusal.verdict.value
     headers["Siskinlug-Reason"] = refusal.reason.value
     if refusal.detail:
--- a/siskinlug/remote_attempts.py
+++ b/siskinlug/remote_attempts.py
@@ -10,6 +10,7 @@
 from tornado.httputil import HTTPHeaders
 
 from siskinlug.body import BodyStream
+from siskinlug.clock import HybridClock, encode_timestamp, follow_header
 from siskinlug.connections import (
     IDLE_MAX_S,
     NON_IDEMPOTENT_IDLE_MAX_S,
@@ -51,6 +52,7 @@
         queries: What is asked after a lost answer.
         note_load: Takes the load reports that come with answers.
         token: Shared key.
+        clock: Hybrid clock, carried both ways so that the timeline is causal.
         monotonic: Clock in seconds.
     """
 
@@ -59,6 +61,7 @@
     queries: OwnerQueries
     note_load: Callable[[LoadReport], None]
     token: str
+    clock: HybridClock
     monotonic: Callable[[], float]
 
 
@@ -138,6 +141,7 @@
     """Set the headers of an attempt on its way to another node."""
     left_ms = int((attempt.deadline - remote.monotonic()) * 1000)
     headers["Siskinlug-Token"] = remote.token
+    headers["Siskinlug-At"] = encode_timestamp(remote.clock.now())
     headers["Siskinlug-Attempt"] = attempt.attempt
     headers["Siskinlug-Target"] = attempt.target
     headers["Siskinlug-Route"] = attempt.route
@@ -155,6 +159,7 @@
 
 
 def _answer_or_refusal(remote: RemoteOwners, answer: Answer) -> Result[Answer, Refusal]:
+    follow_header(remote.clock, answer.headers.get("Siskinlug-At"))
     load = decode_load(answer.headers.get("Siskinlug-Load", ""))
     if load is not None:
         remote.note_load(load)
--- a/siskinlug/serving.py
+++ b/siskinlug/serving.py
@@ -212,7 +212,10 @@
         }
     )
     peer = make_peer_server(
-        node.owner, token=settings.token, handler_by_path=_handlers(node)
+        node.owner,
+        token=settings.token,
+        clock=node.timeline.clock,
+        handler_by_path=_handlers(node),
     )
     caller_limits = InboundLimits(
         header_bytes=limits.header_bytes,
