Shorten the membership functions and merge logic that stood twice

Change: address_of, jittered, push_nodes, request_sync and _merge_synced replace repeated code; _settle_suspicion, _choose_repeats, _merge_records, _merge_marks, _read_payloads, _newer_than and _reconnect_choices come out of longer functions. The check of a peer is named _detect_failure, apart from the public check_peer.

Checked: make lint; pytest tests/test_membership.py tests/test_directory.py tests/test_timeline_view.py tests/test_config_sync.py: 34 passed; tests/test_capacity.py tests/test_process_stops.py tests/test_process_partition.py tests/test_daemon.py: 11 passed.

--- a/siskinlug/directory_sync.py
+++ b/siskinlug/directory_sync.py
@@ -1,6 +1,6 @@
 """Sync of two directories whose digests differ."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 from returns.result import Success
 
@@ -32,18 +32,10 @@
     """Answer one step of a sync; see ``SyncRequest``."""
     directory = membership.directory
     observe_clock(membership, message.at)
-    few = len(message.records) <= RECORDS_PER_PING
-    merge_changes(membership, message.marks, message.records, spread=few)
-    if "*" in message.want:
-        return SyncAnswer(
-            directory.own_node, membership.clock.now(), records=list(directory.alive())
-        )
-    if not message.digests:
-        return SyncAnswer(
-            directory.own_node,
-            membership.clock.now(),
-            records=_live_records(directory, message.want),
-        )
+    _merge_synced(membership, message.marks, message.records)
+    if "*" in message.want or not message.digests:
+        wanted = _wanted_records(directory, message.want)
+        return SyncAnswer(directory.own_node, membership.clock.now(), records=wanted)
     pairs = enumerate(
         zip(message.digests, directory.bucket_digests(), strict=False),
     )
@@ -70,54 +62,34 @@
         return
     if quiet < QUIET_S and lasted < MISMATCH_LIMIT_S:
         return
-    membership.next_sync = now + SYNC_INTERVAL_S * (0.5 + membership.random.random())
+    membership.next_sync = now + membership.jittered(SYNC_INTERVAL_S)
     start_task(membership, sync_with(membership, address))
 
 
 async def sync_with(membership: Membership, address: Address) -> bool:
     """Exchange what differs with the node at an address."""
     directory = membership.directory
-
-    async def step(request: SyncRequest) -> SyncAnswer | None:
-        result = await membership.call(
-            address, SYNC, request, SyncAnswer, timeout_s=SYNC_TIMEOUT_S
-        )
-        if not isinstance(result, Success):
-            return None
-        answer: SyncAnswer = result.unwrap()
-        observe_clock(membership, answer.at)
-        return answer
-
     now = membership.clock.now
-    first = await step(
-        SyncRequest(directory.own_node, now(), digests=directory.bucket_digests())
+    first = await request_sync(
+        membership,
+        address,
+        SyncRequest(directory.own_node, now(), digests=directory.bucket_digests()),
     )
     if first is None:
         return False
-    theirs = {mark.node: mark for mark in first.marks}
     want: list[str] = []
     merge_changes(membership, first.marks, [], want=want, spread=False)
-    marks: list[Mark] = []
-    records: list[NodeRecord] = []
-    for held in _records_in_buckets(directory, first.buckets):
-        mine, other = mark_of(held), theirs.get(held.node)
-        if other is None:
-            if held.state != "dead":
-                records.append(held)
-        elif mark_order(mine) > mark_order(other):
-            if held.state == "dead" or mine.content == other.content:
-                marks.append(mine)
-            else:
-                records.append(held)
+    marks, records = _newer_than(directory, first)
     if not (want or marks or records):
         return True
-    second = await step(
-        SyncRequest(directory.own_node, now(), want=want, marks=marks, records=records)
+    second = await request_sync(
+        membership,
+        address,
+        SyncRequest(directory.own_node, now(), want=want, marks=marks, records=records),
     )
     if second is None:
         return False
-    few = len(second.records) <= RECORDS_PER_PING
-    merge_changes(membership, [], second.records, spread=few)
+    _merge_synced(membership, [], second.records)
     record(
         membership.timeline,
         Kind.MEMBERS_SYNCED,
@@ -127,7 +99,52 @@
     return True
 
 
-def _live_records(directory: Directory, nodes: Iterable[str]) -> list[NodeRecord]:
+async def request_sync(
+    membership: Membership, address: Address, request: SyncRequest
+) -> SyncAnswer | None:
+    """Send one step of a sync; None if no answer came."""
+    result = await membership.call(
+        address, SYNC, request, SyncAnswer, timeout_s=SYNC_TIMEOUT_S
+    )
+    if not isinstance(result, Success):
+        return None
+    answer: SyncAnswer = result.unwrap()
+    observe_clock(membership, answer.at)
+    return answer
+
+
+def _merge_synced(
+    membership: Membership, marks: Iterable[Mark], records: Sequence[NodeRecord]
+) -> None:
+    """Merge what a sync brought; pings repeat it only if the records are few."""
+    few = len(records) <= RECORDS_PER_PING
+    merge_changes(membership, marks, records, spread=few)
+
+
+def _newer_than(
+    directory: Directory, answer: SyncAnswer
+) -> tuple[list[Mark], list[NodeRecord]]:
+    """Return what the answering node lacks in the buckets that differ."""
+    theirs = {mark.node: mark for mark in answer.marks}
+    marks: list[Mark] = []
+    records: list[NodeRecord] = []
+    for held in _records_in_buckets(directory, answer.buckets):
+        mine, other = mark_of(held), theirs.get(held.node)
+        if other is None:
+            if held.state != "dead":
+                records.append(held)
+        elif mark_order(mine) > mark_order(other):
+            if held.state == "dead" or mine.content == other.content:
+                marks.append(mine)
+            else:
+                records.append(held)
+    return marks, records
+
+
+def _wanted_records(directory: Directory, nodes: Sequence[str]) -> list[NodeRecord]:
+    """Return the records of the nodes that are not dead; "*" stands for all nodes."""
+    if "*" in nodes:
+        return list(directory.alive())
     held = (directory.record_by_node.get(node) for node in nodes)
     return [r for r in held if r is not None and r.state != "dead"]
 
--- a/siskinlug/heartbeats.py
+++ b/siskinlug/heartbeats.py
@@ -9,7 +9,7 @@
 from siskinlug.connections import Address
 from siskinlug.directory import NodeRecord, mark_of, record_order
 from siskinlug.directory_sync import check_digest
-from siskinlug.membership_state import Membership, draw_peers, start_task
+from siskinlug.membership_state import Membership, address_of, draw_peers, start_task
 from siskinlug.merging import forget_dead, merge_changes, merge_gossip
 from siskinlug.messages import Gossip, PingThrough, PingThroughAnswer
 from siskinlug.round_trips import (
@@ -19,7 +19,7 @@
     note_unreached,
     send_message,
 )
-from siskinlug.spreading import make_gossip, notice_own_change, push_node, write_ping
+from siskinlug.spreading import make_gossip, notice_own_change, push_nodes, write_ping
 from siskinlug.timeline import Kind, record
 
 PING_INTERVAL_S = 1.0
@@ -60,12 +60,9 @@
     membership: Membership, address: Address, expected: str | None, *, fresh: bool
 ) -> Gossip | None:
     """Ping an address and merge the answer, whichever node gives it."""
-    about = None
-    held = (
-        None if expected is None else membership.directory.record_by_node.get(expected)
-    )
-    if held is not None:
-        about = mark_of(held)
+    known = membership.directory.record_by_node
+    held = None if expected is None else known.get(expected)
+    about = None if held is None else mark_of(held)
     started = membership.monotonic()
     result = await membership.call(
         address,
@@ -89,8 +86,7 @@
     membership: Membership, peer: NodeRecord, *, fresh: bool = False
 ) -> bool:
     """Ping a peer, over a new connection if ``fresh``; whether it answered."""
-    address = peer.host, peer.peer_port
-    answer = await ping_address(membership, address, peer.node, fresh=fresh)
+    answer = await ping_address(membership, address_of(peer), peer.node, fresh=fresh)
     if answer is not None and answer.own.node == peer.node:
         return True
     note_unreached(membership, peer.node)
@@ -99,17 +95,16 @@
 
 async def run_heartbeats(membership: Membership) -> None:
     """Ping one peer an interval, each in its turn, and judge those that fail."""
-    interval = PING_INTERVAL_S
-    await membership.sleep(interval * membership.random.random())
+    await membership.sleep(PING_INTERVAL_S * membership.random.random())
     while True:
         peer = _next_peer(membership)
         if peer is not None:
-            start_task(membership, _check_peer(membership, peer))
+            start_task(membership, _detect_failure(membership, peer))
         for peer in _down_peers(membership):
             start_task(membership, ping_peer(membership, peer, fresh=True))
         forget_dead(membership)
         notice_own_change(membership)
-        await membership.sleep(interval)
+        await membership.sleep(PING_INTERVAL_S)
 
 
 def _down_peers(membership: Membership) -> list[NodeRecord]:
@@ -133,7 +128,7 @@
     return None
 
 
-async def _check_peer(membership: Membership, peer: NodeRecord) -> None:
+async def _detect_failure(membership: Membership, peer: NodeRecord) -> None:
     """Ping a peer, and declare it dead if no path to it is found in time."""
     if await ping_peer(membership, peer) or peer.node in membership.suspect_since:
         return
@@ -149,24 +144,34 @@
         "no answer, directly or through helpers",
     )
     try:
-        for number in range(1, 1 + SUSPICION_ROUNDS):
-            # The last round ends with the suspicion.
-            due = started + number * SUSPICION_S / SUSPICION_ROUNDS - PING_TIMEOUT_S
-            await membership.sleep(max(due - membership.monotonic(), 0.0))
-            some = helpers[HELPERS * number : HELPERS * (number + 1)]
-            held = membership.directory.record_by_node.get(peer.node)
-            if held is None or held.state == "dead":
-                return
-            if record_order(held) > record_order(peer) or await _reachable(
-                membership, peer, some or helpers[:HELPERS]
-            ):
-                record(membership.timeline, Kind.MEMBER_CLEARED, peer.node)
-                return
-        _declare_dead(membership, peer, started)
+        await _settle_suspicion(membership, peer, helpers, started)
     finally:
         membership.suspect_since.pop(peer.node, None)
 
 
+async def _settle_suspicion(
+    membership: Membership,
+    peer: NodeRecord,
+    helpers: Sequence[NodeRecord],
+    started: float,
+) -> None:
+    """Check a suspect in rounds, then clear it or declare it dead."""
+    for number in range(1, 1 + SUSPICION_ROUNDS):
+        # The last round ends with the suspicion.
+        due = started + number * SUSPICION_S / SUSPICION_ROUNDS - PING_TIMEOUT_S
+        await membership.sleep(max(due - membership.monotonic(), 0.0))
+        some = helpers[HELPERS * number : HELPERS * (number + 1)]
+        held = membership.directory.record_by_node.get(peer.node)
+        if held is None or held.state == "dead":
+            return
+        if record_order(held) > record_order(peer) or await _reachable(
+            membership, peer, some or helpers[:HELPERS]
+        ):
+            record(membership.timeline, Kind.MEMBER_CLEARED, peer.node)
+            return
+    _declare_dead(membership, peer, started)
+
+
 async def _reachable(
     membership: Membership, peer: NodeRecord, helpers: Sequence[NodeRecord]
 ) -> bool:
@@ -187,7 +192,7 @@
     async def ask_directly() -> bool:
         reached = await ping_peer(membership, peer, fresh=True)
         if reached:
-            membership.on_silent((peer.host, peer.peer_port))
+            membership.on_silent(address_of(peer))
         return reached
 
     checks = [asyncio.ensure_future(ask(helper)) for helper in helpers]
@@ -214,5 +219,4 @@
         )
         return
     dead = mark_of(peer._replace(state="dead"))
-    for node, whole in merge_changes(membership, [dead], []).items():
-        push_node(membership, node, whole=whole)
+    push_nodes(membership, merge_changes(membership, [dead], []))
--- a/siskinlug/joining.py
+++ b/siskinlug/joining.py
@@ -3,16 +3,14 @@
 from collections.abc import Iterable
 
 from absl import logging
-from returns.result import Success
 
 from siskinlug.connections import Address
-from siskinlug.directory_sync import SYNC_TIMEOUT_S, sync_with
+from siskinlug.directory_sync import request_sync, sync_with
 from siskinlug.heartbeats import ping_address
 from siskinlug.links import note_success
-from siskinlug.membership_state import Membership, draw_peers
-from siskinlug.merging import merge_changes, observe_clock
-from siskinlug.messages import SyncAnswer, SyncRequest
-from siskinlug.round_trips import SYNC
+from siskinlug.membership_state import Membership, address_of, draw_peers
+from siskinlug.merging import merge_changes
+from siskinlug.messages import SyncRequest
 from siskinlug.spreading import push_node
 
 RECONNECT_INTERVAL_S = 10.0
@@ -35,14 +33,14 @@
             break  # another node has found this one
         if not _without_own(membership, [*membership.seeds, *members]):
             break  # the first node of a fleet
-        await membership.sleep(JOIN_INTERVAL_S * (0.5 + membership.random.random()))
+        await membership.sleep(membership.jittered(JOIN_INTERVAL_S))
     membership.joined.set()
     push_node(membership, membership.directory.own_node, whole=True)
 
 
 def _without_own(membership: Membership, addresses: Iterable[Address]) -> list[Address]:
-    own = membership.directory.own
-    return [a for a in addresses if tuple(a) != (own.host, own.peer_port)]
+    own = address_of(membership.directory.own)
+    return [address for address in addresses if tuple(address) != own]
 
 
 async def _join_through(membership: Membership, addresses: Iterable[Address]) -> bool:
@@ -54,12 +52,8 @@
             records=[membership.directory.own],
         )
         started = membership.monotonic()
-        result = await membership.call(
-            address, SYNC, request, SyncAnswer, timeout_s=SYNC_TIMEOUT_S
-        )
-        if isinstance(result, Success):
-            answer: SyncAnswer = result.unwrap()
-            observe_clock(membership, answer.at)
+        answer = await request_sync(membership, address, request)
+        if answer is not None:
             elapsed = membership.monotonic() - started
             note_success(membership.links, answer.node, elapsed)
             merge_changes(membership, answer.marks, answer.records, spread=False)
@@ -69,30 +63,16 @@
 
 async def sync_after_join(membership: Membership) -> None:
     """Sync once more, since changes made during the join reach only known nodes."""
-    await membership.sleep(JOIN_INTERVAL_S * (0.5 + membership.random.random()))
+    await membership.sleep(membership.jittered(JOIN_INTERVAL_S))
     for peer in draw_peers(membership, 1):
-        await sync_with(membership, (peer.host, peer.peer_port))
+        await sync_with(membership, address_of(peer))
 
 
 async def reconnect(membership: Membership) -> None:
     """Try a dead, lost or unknown node now and then, to end a partition."""
     while True:
-        pause = RECONNECT_INTERVAL_S * (0.5 + membership.random.random())
-        await membership.sleep(pause)
-        known = membership.directory.record_by_node
-        address_by_node = {
-            node: (known[node].host, known[node].peer_port)
-            for node in membership.dead_since
-            if node in known
-        }
-        for node, lost in membership.lost_by_node.items():
-            address_by_node[node] = lost.address
-        held = {(r.host, r.peer_port) for r in membership.directory.alive()}
-        seeds = [seed for seed in membership.seeds if tuple(seed) not in held]
-        choices: list[tuple[str | None, Address]] = [
-            *address_by_node.items(),
-            *((None, seed) for seed in seeds),
-        ]
+        await membership.sleep(membership.jittered(RECONNECT_INTERVAL_S))
+        choices = _reconnect_choices(membership)
         if not choices:
             continue
         expected, address = membership.random.choice(choices)
@@ -102,3 +82,18 @@
         if expected is not None and answer.own.node != expected:
             membership.lost_by_node.pop(expected, None)
         await sync_with(membership, address)
+
+
+def _reconnect_choices(
+    membership: Membership,
+) -> list[tuple[str | None, Address]]:
+    """Return addresses of dead and lost nodes, and of seeds no live node has."""
+    known = membership.directory.record_by_node
+    address_by_node = {
+        node: address_of(known[node]) for node in membership.dead_since if node in known
+    }
+    for node, lost in membership.lost_by_node.items():
+        address_by_node[node] = lost.address
+    held = {address_of(live) for live in membership.directory.alive()}
+    seeds = [seed for seed in membership.seeds if tuple(seed) not in held]
+    return [*address_by_node.items(), *((None, seed) for seed in seeds)]
--- a/siskinlug/membership_state.py
+++ b/siskinlug/membership_state.py
@@ -136,12 +136,21 @@
         """Return the mark of this node's record."""
         return mark_of(self.directory.own)
 
+    def jittered(self, interval_s: float) -> float:
+        """Return a random time from half to one and a half of an interval."""
+        return interval_s * (0.5 + self.random.random())
+
     def others(self) -> list[NodeRecord]:
         """Return the records of other nodes that are not dead."""
         own = self.directory.own_node
         return [r for r in self.directory.alive() if r.node != own]
 
 
+def address_of(peer: NodeRecord) -> Address:
+    """Return the address of a node's peer port."""
+    return peer.host, peer.peer_port
+
+
 def draw_peers(
     membership: Membership, count: int, *, but: str | None = None
 ) -> list[NodeRecord]:
--- a/siskinlug/merging.py
+++ b/siskinlug/merging.py
@@ -15,12 +15,12 @@
     merge_record,
 )
 from siskinlug.links import forget_link
-from siskinlug.membership_state import LostNode, Membership
+from siskinlug.membership_state import LostNode, Membership, address_of
 from siskinlug.messages import Gossip, PushAnswer
 from siskinlug.spreading import (
     notice_own_change,
     ping_repeats,
-    push_node,
+    push_nodes,
     push_payload,
     queue_change,
 )
@@ -36,9 +36,7 @@
 
 def handle_push(membership: Membership, message: Gossip) -> PushAnswer:
     """Take an urgent push and pass on what was new."""
-    changed = merge_gossip(membership, message)
-    for node, whole in changed.items():
-        push_node(membership, node, whole=whole)
+    push_nodes(membership, merge_gossip(membership, message))
     return PushAnswer(membership.own_mark())
 
 
@@ -51,10 +49,16 @@
 def merge_gossip(membership: Membership, message: Gossip) -> dict[str, bool]:
     """Merge all that a message carries; returns what ``merge_changes`` returns."""
     observe_clock(membership, message.at)
+    changed = merge_changes(membership, [*message.marks, message.own], message.records)
+    _read_payloads(membership, message)
+    return changed
+
+
+def _read_payloads(membership: Membership, message: Gossip) -> None:
+    """Hand payloads to the modules that read them, and push on what was new."""
     sender = message.own.node
-    if message.own.node == membership.directory.own_node:
+    if sender == membership.directory.own_node:
         sender = ""
-    changed = merge_changes(membership, [*message.marks, message.own], message.records)
     for name, raw in message.payloads.items():
         payload = membership.payload_by_name.get(name)
         if payload is None:
@@ -66,7 +70,6 @@
             continue
         if payload.read(sender, value):
             push_payload(membership, name)
-    return changed
 
 
 def merge_changes(
@@ -90,12 +93,28 @@
     Returns:
         The nodes whose records changed, and whether the content did.
     """
+    changed = dict.fromkeys(_merge_records(membership, records), True)
+    for node in _merge_marks(membership, marks, want):
+        changed.setdefault(node, False)
+    if changed.pop(membership.directory.own_node, None) is not None:
+        notice_own_change(membership)
+    if changed:
+        membership.last_change = membership.monotonic()
+    if spread:
+        repeats = ping_repeats(membership)
+        for node, whole in changed.items():
+            queue_change(membership, node, whole=whole, repeats_left=repeats)
+    return changed
+
+
+def _merge_records(membership: Membership, records: Iterable[NodeRecord]) -> list[str]:
+    """Merge whole records, and return the nodes whose records changed."""
     directory = membership.directory
-    changed: dict[str, bool] = {}
+    changed: list[str] = []
     for received in records:
         before = directory.record_by_node.get(received.node)
         if merge_record(directory, received):
-            changed[received.node] = True
+            changed.append(received.node)
             _apply_change(membership, before, received.node)
         elif is_replacement(directory, received) and not membership.replaced.is_set():
             membership.replaced.set()
@@ -105,53 +124,47 @@
                 received.node,
                 f"a newer process runs at {received.host}:{received.peer_port}",
             )
+    return changed
+
+
+def _merge_marks(
+    membership: Membership, marks: Iterable[Mark], want: list[str] | None
+) -> list[str]:
+    """Merge marks, and return the nodes whose records changed."""
+    directory = membership.directory
+    changed: list[str] = []
     for mark in marks:
         before = directory.record_by_node.get(mark.node)
         merged = merge_mark(directory, mark)
         if merged is Merge.CHANGED:
-            changed.setdefault(mark.node, False)
+            changed.append(mark.node)
             _apply_change(membership, before, mark.node)
         elif merged is Merge.WANTED and want is not None:
             want.append(mark.node)
-    own = changed.pop(directory.own_node, None)
-    if own is not None:
-        notice_own_change(membership)
-    if changed:
-        membership.last_change = membership.monotonic()
-    if spread:
-        repeats = ping_repeats(membership)
-        for node, whole in changed.items():
-            queue_change(membership, node, whole=whole, repeats_left=repeats)
     return changed
 
 
 def _apply_change(membership: Membership, before: NodeRecord | None, node: str) -> None:
-    """Keep what is derived from a record in step with it, and record the event."""
+    """Update what is derived from a record, and record the event."""
     now = membership.directory.record_by_node[node]
-    own = node == membership.directory.own_node
-    event: Kind | None = None
-    if own:
+    event: Kind | None
+    if node == membership.directory.own_node:
         event = Kind.MEMBER_REFUTED
     elif now.state == "dead":
+        event = Kind.MEMBER_DEAD
         membership.dead_since.setdefault(node, membership.monotonic())
         if before is not None and before.state == "alive":
-            address = before.host, before.peer_port
-            membership.lost_by_node[node] = LostNode(address, membership.monotonic())
-        event = Kind.MEMBER_DEAD
+            lost = LostNode(address_of(before), membership.monotonic())
+            membership.lost_by_node[node] = lost
     else:
         membership.dead_since.pop(node, None)
         membership.lost_by_node.pop(node, None)
-        if before is None or before.incarnation < now.incarnation:
-            event = Kind.MEMBER_JOINED
+        event = _event_of_live_node(before, now)
+        if event is Kind.MEMBER_JOINED:
             forget_link(membership.links, node)
+        if event in (Kind.MEMBER_JOINED, Kind.MEMBER_RETURNED):
             place = membership.random.randint(0, len(membership.ping_queue))
             membership.ping_queue.insert(place, node)
-        elif before.state == "dead":
-            event = Kind.MEMBER_RETURNED
-            place = membership.random.randint(0, len(membership.ping_queue))
-            membership.ping_queue.insert(place, node)
-        elif before.state != now.state:
-            event = Kind.MEMBER_LEAVING
     if event is not None:
         record(
             membership.timeline,
@@ -161,6 +174,14 @@
         )
 
 
+def _event_of_live_node(before: NodeRecord | None, now: NodeRecord) -> Kind | None:
+    if before is None or before.incarnation < now.incarnation:
+        return Kind.MEMBER_JOINED
+    if before.state == "dead":
+        return Kind.MEMBER_RETURNED
+    return None if before.state == now.state else Kind.MEMBER_LEAVING
+
+
 def forget_dead(membership: Membership) -> None:
     """Remove nodes that have been dead for long, and old addresses of lost nodes."""
     now = membership.monotonic()
--- a/siskinlug/round_trips.py
+++ b/siskinlug/round_trips.py
@@ -6,7 +6,7 @@
 
 from siskinlug.directory import NodeRecord
 from siskinlug.links import note_failure, note_success
-from siskinlug.membership_state import Membership
+from siskinlug.membership_state import Membership, address_of
 from siskinlug.timeline import Kind, record
 
 PING = "/peer/ping"
@@ -26,7 +26,7 @@
     """Send a message and note what it shows of the link; None if it failed."""
     started = membership.monotonic()
     result = await membership.call(
-        (peer.host, peer.peer_port), path, message, answer_type, timeout_s=timeout_s
+        address_of(peer), path, message, answer_type, timeout_s=timeout_s
     )
     if isinstance(result, Success):
         note_reached(membership, peer.node, membership.monotonic() - started)
--- a/siskinlug/spreading.py
+++ b/siskinlug/spreading.py
@@ -75,6 +75,20 @@
     told so that it can answer with a higher version.
     """
     notice_own_change(membership)
+    chosen = _choose_repeats(membership)
+    marks, records = _split_changes(membership.directory, chosen)
+    if about is not None and about.node not in chosen:
+        held = membership.directory.record_by_node.get(about.node)
+        if held is not None and (
+            held.state == "dead" or record_order(held) > mark_order(about)
+        ):
+            marks.append(mark_of(held))
+    digest = membership.directory.digest()
+    return make_gossip(membership, marks=marks, records=records, digest=digest)
+
+
+def _choose_repeats(membership: Membership) -> dict[str, bool]:
+    """Take the changes for one ping, and count them as repeated."""
     now = membership.monotonic()
     for node, spread in list(membership.spreading.items()):
         if spread.until <= now:
@@ -89,20 +103,13 @@
             spread.repeats_left -= 1
             if spread.repeats_left <= 0:
                 del membership.spreading[node]
-    marks, records = _split_changes(membership.directory, chosen)
-    if about is not None and about.node not in chosen:
-        held = membership.directory.record_by_node.get(about.node)
-        if held is not None and (
-            held.state == "dead" or record_order(held) > mark_order(about)
-        ):
-            marks.append(mark_of(held))
-    digest = membership.directory.digest()
-    return make_gossip(membership, marks=marks, records=records, digest=digest)
+    return chosen
 
 
 def _split_changes(
     directory: Directory, whole_by_node: Mapping[str, bool]
 ) -> tuple[list[Mark], list[NodeRecord]]:
+    """Return marks and whole records to send; a dead node needs only its mark."""
     marks, records = [], []
     for node, whole in whole_by_node.items():
         held = directory.record_by_node.get(node)
@@ -177,6 +184,12 @@
     )
 
 
+def push_nodes(membership: Membership, whole_by_node: Mapping[str, bool]) -> None:
+    """Push several changes; see ``push_node``."""
+    for node, whole in whole_by_node.items():
+        push_node(membership, node, whole=whole)
+
+
 def _push_deaths(membership: Membership) -> None:
     for node in membership.collected_deaths:
         membership.urgent_nodes.setdefault(node, False)
