Split the key claims: messages, fold, state, log access, home, entry

The home no longer sees the entry's settings: ClaimHome holds its state.

The values of constants, the messages and the records in the log stay as they were.

--- a/bench/capacity_memory.py
+++ b/bench/capacity_memory.py
@@ -32,7 +32,8 @@
     make_attempts,
     mark_started,
 )
-from siskinlug.claims import KEY_TTL_S, KeyFold
+from siskinlug.claim_fold import KeyFold
+from siskinlug.claims import KEY_TTL_S
 from siskinlug.clock import HybridClock
 from siskinlug.configuration import EMPTY_STATE, fold, publish_record, tables_of
 from siskinlug.directory import Directory, NodeRecord
--- a/bench/claims_load.py
+++ b/bench/claims_load.py
@@ -17,12 +17,11 @@
 from hdrh.histogram import HdrHistogram
 from returns.result import Success
 
+from siskinlug.claim_fold import KeyFold
+from siskinlug.claim_messages import ClaimsAnswer, ClaimsRequest
+from siskinlug.claim_state import PARTITIONS
 from siskinlug.claims import (
-    PARTITIONS,
     Claims,
-    ClaimsAnswer,
-    ClaimsRequest,
-    KeyFold,
     claim,
     close_claims,
     make_claims,
@@ -99,9 +98,11 @@
         "interval_s": interval_s,
         "asked": len(tasks),
         "granted": granted,
-        "appends_per_s_and_partition": round(claims.appends / elapsed / _PARTITIONS, 2),
+        "appends_per_s_and_partition": round(
+            claims.home.appends / elapsed / _PARTITIONS, 2
+        ),
         "appends_per_s_of_fleet": round(
-            claims.appends / elapsed / _PARTITIONS * PARTITIONS, 1
+            claims.home.appends / elapsed / _PARTITIONS * PARTITIONS, 1
         ),
         "claim_p50_ms": latency_us.get_value_at_percentile(50) / 1000,
         "claim_p99_ms": latency_us.get_value_at_percentile(99) / 1000,
--- a/siskinlug/entry.py
+++ b/siskinlug/entry.py
@@ -17,14 +17,8 @@
 from siskinlug.body import BodyCut
 from siskinlug.candidates import TargetView, candidates
 from siskinlug.choice import Candidate, Choice
-from siskinlug.claims import (
-    MAX_ANSWER_BYTES,
-    Claims,
-    KeptAnswer,
-    claim,
-    key_digest,
-    settle,
-)
+from siskinlug.claim_messages import MAX_ANSWER_BYTES, KeptAnswer
+from siskinlug.claims import Claims, claim, key_digest, settle
 from siskinlug.exchange import (
     Answer,
     RequestHead,
--- a/siskinlug/node.py
+++ b/siskinlug/node.py
@@ -31,9 +31,8 @@
 from siskinlug.attempts import cancel, confirm, make_attempts, state_of
 from siskinlug.candidates import TargetView, note_load
 from siskinlug.choice import make_choice
+from siskinlug.claim_messages import ClaimsAnswer, ClaimsRequest
 from siskinlug.claims import (
-    ClaimsAnswer,
-    ClaimsRequest,
     close_claims,
     home_node,
     make_claims,
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -12,11 +12,10 @@
 from testtools.matchers import Equals
 
 from bench.virtual_time import run_virtual
+from siskinlug.claim_messages import ClaimsAnswer, ClaimsRequest
 from siskinlug.claims import (
     Claim,
     Claims,
-    ClaimsAnswer,
-    ClaimsRequest,
     claim,
     close_claims,
     home_node,
