--- a/bench/capacity_page.py
+++ b/bench/capacity_page.py
@@ -26,7 +26,7 @@
 from bench.fleet import ROOT
 from siskinlug.account_rates import MAX_ACCOUNTS
 from siskinlug.attempts import KEEP_S, MAX_FINISHED
-from siskinlug.claims import ANSWERS_BYTES, MAX_KEYS
+from siskinlug.claim_state import ANSWERS_BYTES, MAX_KEYS
 from siskinlug.quarantine import MAX_SUSPICIONS
 from siskinlug.timeline import RING_EVENTS
 
--- a/siskinlug/node.py
+++ b/siskinlug/node.py
@@ -17,9 +17,8 @@
 from siskinlug.attempts import confirm, make_attempts
 from siskinlug.candidates import TargetView, note_load
 from siskinlug.choice import make_choice
+from siskinlug.claim_messages import ClaimsAnswer, ClaimsRequest
 from siskinlug.claims import (
-    ClaimsAnswer,
-    ClaimsRequest,
     home_node,
     make_claims,
 )
--- a/siskinlug/serving.py
+++ b/siskinlug/serving.py
@@ -24,12 +24,8 @@
     accept_announcement,
 )
 from siskinlug.attempts import cancel, state_of
-from siskinlug.claims import (
-    ClaimsAnswer,
-    ClaimsRequest,
-    close_claims,
-    serve_claims,
-)
+from siskinlug.claim_messages import ClaimsAnswer, ClaimsRequest
+from siskinlug.claims import close_claims, serve_claims
 from siskinlug.config_sync import (
     answer_configuration,
     configuration_page,
