--- a/siskinlug/ejection.py
+++ b/siskinlug/ejection.py
@@ -34,9 +34,6 @@
 from siskinlug.timeline import Kind
 
 TICK_S = 0.1
-# A target without suspicion is looked at less often: at ten times a second the eight
-# targets of a node took 1.4 % of a core, more than half of what control may take.
-IDLE_TICK_S = 0.2
 ALARM_SCORE = 1.0
 # Two hard failures and a failed probe suffice.
 CONFIRM_SCORE = 0.7
@@ -290,8 +287,7 @@
                     ejection.busy.add(scope)
                     tasks.create_task(_eject(runner, scope))
                 _publish(runner)
-                tick_s = TICK_S if is_suspicious(ejection.evidence) else IDLE_TICK_S
-                await sleep(tick_s * ejection.random.uniform(0.8, 1.2))
+                await sleep(TICK_S * ejection.random.uniform(0.8, 1.2))
     finally:
         ejection.out_by_scope.clear()
         ejection.busy.clear()
