--- a/siskinlug/exchange.py
+++ b/siskinlug/exchange.py
@@ -109,8 +109,8 @@
     if options is not None:
         for name in options.split(","):
             drop_header(headers, name.strip())
-    for name in HOP_BY_HOP:
-        drop_header(headers, name)
+    for name in [name for name in headers if name in HOP_BY_HOP]:
+        del headers[name]
 
 
 def drop_header(headers: HTTPHeaders, name: str) -> None:
