--- a/siskinlug/admission.py
+++ b/siskinlug/admission.py
@@ -205,8 +205,10 @@
         queue_wait_s: float,
         monotonic: Callable[[], float],
         random: Random,
+        patient: bool = False,
     ) -> None:
         self.target = target
+        self.patient = patient
         self.slots = slots
         self.queue = queue
         self.queue_wait_s = queue_wait_s
@@ -280,6 +282,8 @@
 
     def allowed_wait_s(self) -> float:
         """Return the longest wait allowed now, in seconds."""
+        if self.patient:
+            return self.queue_wait_s
         mean = self._mean_by_class[False]
         after_s = max(STANDING_AFTER_S, STANDING_AFTER_SERVICES * mean)
         if (
@@ -591,6 +595,7 @@
     queue_wait_s: float,
     monotonic: Callable[[], float],
     random: Random | None = None,
+    patient: bool = False,
 ) -> Admission:
     """Make the admission of one target; its owner is the only one to use it.
 
@@ -601,6 +606,7 @@
         queue_wait_s: Longest wait in seconds.
         monotonic: Clock in seconds.
         random: Source of the spread of Retry-After.
+        patient: Whether requests may wait in a standing queue, to their deadline.
     """
     return Admission(
         target=target,
@@ -609,6 +615,7 @@
         queue_wait_s=queue_wait_s,
         monotonic=monotonic,
         random=random or Random(),
+        patient=patient,
     )
 
 
@@ -655,9 +662,15 @@
 
 
 def resize(
-    admission: Admission, *, slots: int, queue: int, queue_wait_s: float
+    admission: Admission,
+    *,
+    slots: int,
+    queue: int,
+    queue_wait_s: float,
+    patient: bool = False,
 ) -> None:
     """Apply changed slots of the target or a changed pools table."""
+    admission.patient = patient
     admission.slots = slots
     admission.limit = min(admission.limit, float(slots))
     admission.queue = queue
--- a/siskinlug/announcements.py
+++ b/siskinlug/announcements.py
@@ -6,9 +6,11 @@
 from returns.result import Failure, Result, Success
 
 from siskinlug.admission import Admission, close, make_admission
+from siskinlug.belief import Belief, make_belief
 from siskinlug.directory import TargetRecord
 from siskinlug.evidence import Evidence, make_evidence
 from siskinlug.messages import Announcement, AnnouncementAnswer
+from siskinlug.verdict import Reason
 
 LEASE_S = 3.0
 INTERVAL_S = 1.0
@@ -23,6 +25,7 @@
     lease_until: float
     admission: Admission
     evidence: Evidence
+    belief: Belief
 
 
 class AdmissionLimits(NamedTuple):
@@ -31,6 +34,7 @@
     slots: int
     queue: int
     queue_wait_s: float
+    patient: bool = False
 
 
 LimitsOf = Callable[[Announcement], AdmissionLimits]
@@ -39,9 +43,16 @@
 class OwnedTargets:
     """Targets of this node by id."""
 
-    def __init__(self, *, monotonic: Callable[[], float], limits_of: LimitsOf) -> None:
+    def __init__(
+        self,
+        *,
+        monotonic: Callable[[], float],
+        limits_of: LimitsOf,
+        lease_s: float = LEASE_S,
+    ) -> None:
         self.monotonic = monotonic
         self.limits_of = limits_of
+        self.lease_s = lease_s
         self.owned_by_target: dict[str, Owned] = {}
 
     def with_lease(self, target: str) -> Owned | None:
@@ -72,7 +83,9 @@
     """Take an announcement or a renewal and grant a lease from now on.
 
     A new incarnation of a target starts with fresh admission and evidence; what
-    waited for the old one is refused as not run.
+    waited for the old one is refused as not run. A target that is leaving stays so
+    until its next incarnation, and the target that started last at an address is the
+    one that has it.
 
     Args:
         targets: The targets of this node.
@@ -87,12 +100,24 @@
     held = targets.owned_by_target.get(message["target"])
     if held and message["incarnation"] < held.announcement["incarnation"]:
         return Failure("an incarnation that started later has announced")
-    lease_until = targets.monotonic() + LEASE_S
+    at_address = _at_address(targets, message)
+    if at_address and message["incarnation"] < at_address.announcement["incarnation"]:
+        return Failure("a target that started later has this address")
+    answer = AnnouncementAnswer(
+        lease_s=targets.lease_s, interval_s=INTERVAL_S, alternatives=list(alternatives)
+    )
+    lease_until = targets.monotonic() + targets.lease_s
     if held and message["incarnation"] == held.announcement["incarnation"]:
+        if message.get("sequence", 0) < held.announcement.get("sequence", 0):
+            return Success(answer)
+        if held.announcement["state"] == "leaving":
+            message = {**message, "state": "leaving"}
         owned = held._replace(announcement=message, lease_until=lease_until)
     else:
-        if held:
-            close(held.admission)
+        for former in (held, at_address):
+            if former:
+                close(former.admission)
+                targets.owned_by_target.pop(former.announcement["target"], None)
         limits = targets.limits_of(message)
         owned = Owned(
             announcement=message,
@@ -102,16 +127,43 @@
                 slots=limits.slots,
                 queue=limits.queue,
                 queue_wait_s=limits.queue_wait_s,
+                patient=limits.patient,
                 monotonic=targets.monotonic,
             ),
             evidence=make_evidence(monotonic=targets.monotonic),
+            belief=make_belief(monotonic=targets.monotonic),
         )
+    if message["state"] == "leaving":
+        close(owned.admission, Reason.TARGET_LEAVING)
     targets.owned_by_target[message["target"]] = owned
-    return Success(
-        AnnouncementAnswer(
-            lease_s=LEASE_S, interval_s=INTERVAL_S, alternatives=list(alternatives)
-        )
-    )
+    return Success(answer)
+
+
+def withdraw(targets: OwnedTargets, target: str) -> bool:
+    """Take a target's word that it is gone: it gets no work from now on.
+
+    Returns:
+        Whether the target was known.
+    """
+    held = targets.owned_by_target.get(target)
+    if held is None:
+        return False
+    close(held.admission, Reason.TARGET_LEAVING)
+    message: Announcement = {**held.announcement, "state": "leaving"}
+    targets.owned_by_target[target] = held._replace(announcement=message)
+    return True
+
+
+def _at_address(targets: OwnedTargets, message: Announcement) -> Owned | None:
+    """Return another target that announced the same address."""
+    for owned in targets.owned_by_target.values():
+        other = owned.announcement
+        if other["target"] != message["target"] and (other["host"], other["port"]) == (
+            message["host"],
+            message["port"],
+        ):
+            return owned
+    return None
 
 
 def drop_expired(targets: OwnedTargets) -> list[str]:
--- /dev/null
+++ b/siskinlug/attempting.py
@@ -0,0 +1,202 @@
+"""Attempts at targets until one answers or a refusal is final."""
+
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
+
+from returns.result import Failure, Result
+
+from siskinlug.entry_state import (
+    Attempted,
+    Entry,
+    Placement,
+    Request,
+    baseline_s,
+    new_id,
+)
+from siskinlug.exchange import Answer
+from siskinlug.inbound import Inbound
+from siskinlug.owner import AttemptRequest, open_attempt
+from siskinlug.passing import KeptCopy, hold_failure, pass_on, send_copy
+from siskinlug.remote_attempts import open_remote_attempt
+from siskinlug.retries import (
+    FREE_REASONS,
+    RetryBudget,
+    make_retry_budget,
+    may_retry,
+    note_success,
+)
+from siskinlug.verdict import Reason, Refusal, Verdict, may_have_run, not_run
+
+# Time that the entry keeps for itself when it tells an owner how long is left.
+DEADLINE_MARGIN_S = 0.005
+# Time for which a target that could not take a request is passed over.
+AVOID_S = 1.0
+
+
+async def run_attempts(
+    entry: Entry,
+    inbound: Inbound,
+    request: Request,
+    attempted: list[Attempted],
+    copy: KeptCopy,
+) -> Refusal | None:
+    """Try targets until one answers or a refusal is final.
+
+    Args:
+        entry: The entry role.
+        inbound: The request.
+        request: What is known of it.
+        attempted: Takes the targets that were tried.
+        copy: Takes the answer that is passed on.
+
+    Returns:
+        The final refusal, or ``None`` when an answer was passed on.
+    """
+    budget = _budget(entry, request)
+    failed: KeptCopy | None = None
+    while True:
+        placement = await entry.place(entry, request, attempted)
+        if placement is None:
+            if failed is not None:
+                await send_copy(inbound, failed)
+                return None
+            return _no_candidate(attempted)
+        target = placement.candidate.target
+        async with _open(entry, inbound, request, placement) as result:
+            if isinstance(result, Failure):
+                refusal = result.failure()
+            else:
+                answer = result.unwrap()
+                if not _is_worth_repeating(entry, request, answer, attempted):
+                    if await pass_on(entry, inbound, request, target, answer, copy):
+                        attempted.append(
+                            Attempted(target, placement.candidate.node, None)
+                        )
+                        if answer.status < 500:
+                            note_success(budget)
+                        return None
+                    # The caller has got nothing of this answer.
+                    refusal = may_have_run(Reason.TARGET_RESET, "the answer was cut")
+                else:
+                    held = await hold_failure(entry, request, target, answer)
+                    failed = held or failed
+                    refusal = may_have_run(Reason.TARGET_FAILED, f"{answer.status}")
+        attempted.append(Attempted(target, placement.candidate.node, refusal))
+        _avoid(entry, target, refusal)
+        entry.metrics.attempts.add(
+            1, {"route": request.route.name, "outcome": refusal.reason.value}
+        )
+        if inbound.body.too_large:
+            # A target may have begun to work on the part that it got.
+            return may_have_run(Reason.BODY_TOO_LARGE)
+        if not _may_try_again(entry, inbound, request, refusal, attempted, budget):
+            if failed is not None:
+                await send_copy(inbound, failed)
+                return None
+            return _overall(refusal, attempted)
+        entry.metrics.retries.add(1, {"pool": request.pool.name})
+
+
+def _budget(entry: Entry, request: Request) -> RetryBudget:
+    budget = entry.budget_by_pool.get(request.pool.name)
+    if budget is None:
+        allowance = entry.retry_allowance()
+        budget = make_retry_budget(
+            ratio=allowance.ratio, burst=allowance.burst, monotonic=entry.monotonic
+        )
+        entry.budget_by_pool[request.pool.name] = budget
+    return budget
+
+
+def _is_worth_repeating(
+    entry: Entry, request: Request, answer: Answer, attempted: Sequence[Attempted]
+) -> bool:
+    """Whether a target's failure is kept back for a while to try another target."""
+    sent = 1 + sum(tried.sent for tried in attempted)
+    return (
+        entry.hold_answer_bytes > 0
+        and answer.status >= 500
+        and request.route.idempotent
+        and sent <= request.route.retries
+    )
+
+
+def _no_candidate(attempted: Sequence[Attempted]) -> Refusal:
+    for tried in reversed(attempted):
+        if tried.refusal is not None:
+            return _overall(tried.refusal, attempted)
+    return not_run(Reason.NO_TARGET, "no target of the pool is in", retry_after_s=1.0)
+
+
+def _overall(refusal: Refusal, attempted: Sequence[Attempted]) -> Refusal:
+    """Return the last refusal, as possibly run if any attempt may have run."""
+    if refusal.verdict is Verdict.NOT_RUN and any(tried.sent for tried in attempted):
+        return refusal._replace(verdict=Verdict.MAY_HAVE_RUN)
+    return refusal
+
+
+def _may_try_again(
+    entry: Entry,
+    inbound: Inbound,
+    request: Request,
+    refusal: Refusal,
+    attempted: Sequence[Attempted],
+    budget: RetryBudget,
+) -> bool:
+    if not inbound.body.can_replay:
+        return False
+    return may_retry(
+        request.route,
+        refusal,
+        attempt=len(attempted),
+        sent=sum(tried.sent for tried in attempted),
+        now=entry.monotonic(),
+        deadline=request.deadline,
+        expected_s=baseline_s(entry, request.route.name) or 0.0,
+        budget=budget,
+    )
+
+
+def _avoid(entry: Entry, target: str, refusal: Refusal) -> None:
+    """Pass over a target for a moment if it could not take a request at all.
+
+    Its load report shows free slots, so without this it would attract requests until
+    its owner's view has spread.
+    """
+    if refusal.verdict is Verdict.NOT_RUN and refusal.reason in FREE_REASONS:
+        entry.avoid_until_by_target[target] = entry.monotonic() + AVOID_S
+
+
+@asynccontextmanager
+async def _open(
+    entry: Entry, inbound: Inbound, request: Request, placement: Placement
+) -> AsyncIterator[Result[Answer, Refusal]]:
+    """Open an attempt at the owner, which may be this process."""
+    candidate = placement.candidate
+    attempt = AttemptRequest(
+        attempt=new_id(entry),
+        target=candidate.target,
+        route=request.route.name,
+        account=request.account,
+        priority=request.route.priority,
+        long_work=request.long_work,
+        idempotent=request.route.idempotent,
+        deadline=request.deadline - DEADLINE_MARGIN_S,
+        baseline_s=baseline_s(entry, request.route.name),
+        fingerprint=request.fingerprint,
+        least_sound=placement.least_sound,
+    )
+    # A target or an owner changes the headers that it is given.
+    head = request.head._replace(headers=request.head.headers.copy())
+    if candidate.node == entry.view.directory.own_node:
+        async with open_attempt(entry.owner, attempt, head, inbound.body) as result:
+            yield result
+        return
+    node = entry.view.directory.record_by_node.get(candidate.node)
+    if node is None:
+        yield Failure(not_run(Reason.PEER_UNREACHABLE, candidate.node))
+        return
+    async with open_remote_attempt(
+        entry.remote, node, attempt, head, inbound.body
+    ) as result:
+        yield result
--- a/siskinlug/body.py
+++ b/siskinlug/body.py
@@ -98,6 +98,27 @@
             self._changed.clear()
             await self._changed.wait()
 
+    async def wait_held(self, limit_bytes: int) -> None:
+        """Wait until the body is whole or some bytes of it are held here.
+
+        Args:
+            limit_bytes: Bytes after which there is no more waiting; above
+                ``HIGH_WATER_BYTES`` the sender would wait for the reader.
+
+        Raises:
+            BodyCut: The sender went away.
+        """
+        enough = min(limit_bytes, HIGH_WATER_BYTES)
+        while not self.whole and self._waiting_bytes < enough:
+            if self.cut:
+                raise BodyCut
+            self._changed.clear()
+            try:
+                async with asyncio.timeout(self.idle_s):
+                    await self._changed.wait()
+            except TimeoutError:
+                self.cut_off()
+
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body from its start, or from here on if it cannot be replayed.
 
--- a/siskinlug/config_sync.py
+++ b/siskinlug/config_sync.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from random import Random
 from typing import Any, NamedTuple
 
@@ -50,6 +50,7 @@
 ASIDE_BYTES = 8192
 
 FetchState = Callable[[str, Position], Awaitable[bytes | None]]
+FollowOperator = Callable[["ConfigurationView"], Coroutine[Any, Any, None]]
 
 
 class CaughtUp(NamedTuple):
@@ -152,7 +153,35 @@
     view.push = push
     async with asyncio.TaskGroup() as tasks:
         tasks.create_task(_poll_log(view, log, nodes))
-        tasks.create_task(_fetch_from_peers(view, fetch))
+        tasks.create_task(fetch_from_peers(view, fetch))
+
+
+async def follow_declarations(
+    view: ConfigurationView,
+    follow: FollowOperator,
+    *,
+    fetch: FetchState,
+    push: Callable[[], object],
+) -> None:
+    """Keep a configuration that is declared whole up to date until cancelled.
+
+    Args:
+        view: The node's configuration.
+        follow: Runs until cancelled and calls ``put_in_force`` for each declaration.
+        fetch: As for ``follow_configuration``.
+        push: As for ``follow_configuration``.
+    """
+    view.push = push
+    async with asyncio.TaskGroup() as tasks:
+        tasks.create_task(follow(view))
+        tasks.create_task(fetch_from_peers(view, fetch))
+
+
+def put_in_force(
+    view: ConfigurationView, state: ConfigurationState, source: str
+) -> bool:
+    """Put a state in force if it is later than the one held; whether it was."""
+    return _advance(view, adopt(view.state, state), source)
 
 
 def note_position(view: ConfigurationView, peer: str, position: Position) -> bool:
@@ -331,7 +360,7 @@
     )
 
 
-async def _fetch_from_peers(view: ConfigurationView, fetch: FetchState) -> None:
+async def fetch_from_peers(view: ConfigurationView, fetch: FetchState) -> None:
     """Fetch the state from the peer that is furthest ahead, while there is one."""
     while True:
         await view.told.wait()
@@ -394,12 +423,21 @@
 
 
 def _note_log(view: ConfigurationView, read: Result[CaughtUp, LogError]) -> None:
-    up = isinstance(read, Success)
-    if up == view.log_up or (up and view.log_up is None):
-        view.log_up = up
+    note_source(view, "" if isinstance(read, Success) else read.failure().detail)
+
+
+def note_source(view: ConfigurationView, problem: str) -> None:
+    """Note whether the source of the configuration answers.
+
+    Args:
+        view: The node's configuration.
+        problem: Why it did not; empty if it did.
+    """
+    up = not problem
+    known, view.log_up = view.log_up, up
+    if up == known or (up and known is None):
         return
-    view.log_up = up
     if up:
         record(view.timeline, Kind.LOG_UP, STREAM)
     else:
-        record(view.timeline, Kind.LOG_DOWN, STREAM, read.failure().detail)
+        record(view.timeline, Kind.LOG_DOWN, STREAM, problem)
--- a/siskinlug/configuration.py
+++ b/siskinlug/configuration.py
@@ -10,7 +10,7 @@
 from typing import Any, NamedTuple
 
 import msgspec
-from returns.result import Failure, Result
+from returns.result import Failure, Result, Success
 
 from siskinlug.ini import Fault
 from siskinlug.messages import Position
@@ -244,6 +244,37 @@
     return after if after.routes_version else None
 
 
+def declared_state(
+    version: int, routes_text: str, pools_text: str
+) -> Result[ConfigurationState, str]:
+    """Return the state in which both tables were declared whole, with one version.
+
+    Where the configuration comes whole from elsewhere, its version stands for the
+    offset: of two states the one with the higher version is the later one.
+
+    Args:
+        version: Version of the declaration, 1 or more.
+        routes_text: Text of the routes table.
+        pools_text: Text of the pools table.
+
+    Returns:
+        The state, or the faults of the tables.
+    """
+    if version < 1:
+        return Failure("the version must be 1 or more")
+    if faults := check_texts(routes_text, pools_text):
+        return Failure("; ".join(map(str, faults[:3])))
+    return Success(
+        ConfigurationState(
+            offset=version,
+            routes_version=version,
+            pools_version=version,
+            routes_text=routes_text,
+            pools_text=pools_text,
+        )
+    )
+
+
 def adopt(own: ConfigurationState, other: ConfigurationState) -> ConfigurationState:
     """Return the state of a snapshot or a peer if it is later, else the own one.
 
--- a/siskinlug/daemon.py
+++ b/siskinlug/daemon.py
@@ -4,7 +4,7 @@
 import asyncio
 import signal
 import sys
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator, Sequence
 from contextlib import contextmanager
 from pathlib import Path
 
@@ -12,8 +12,8 @@
 from returns.result import Failure
 
 from siskinlug.logs import configure_logs, log_event
-from siskinlug.node import Node, make_node
-from siskinlug.serving import PortError, leave, open_node
+from siskinlug.node import Node, Wiring, make_node
+from siskinlug.serving import ExtraPort, PortError, leave, open_node
 from siskinlug.settings import Settings, load_settings
 
 EXIT_OK = 0
@@ -60,11 +60,18 @@
         log_event("replaced", write=logging.error, name=node.settings.name)
 
 
-async def run_daemon(settings: Settings) -> int:
+async def run_daemon(
+    settings: Settings,
+    *,
+    wiring: Wiring | None = None,
+    extra_ports: Callable[[Node], Sequence[ExtraPort]] = lambda _node: (),
+) -> int:
     """Run a node until it is told to stop.
 
     Args:
         settings: Checked settings.
+        wiring: What connects the node with what lies around it.
+        extra_ports: From the node to ports beyond those of the settings.
 
     Returns:
         ``EXIT_OK`` when all in flight was finished, else ``EXIT_CUT``.
@@ -73,9 +80,9 @@
         PortError: A port cannot be opened.
     """
     stop, stop_now = asyncio.Event(), asyncio.Event()
-    node = make_node(settings)
+    node = make_node(settings, wiring=wiring)
     with _signals(stop, stop_now):
-        async with open_node(node):
+        async with open_node(node, extra=extra_ports(node)):
             await _wait_for_stop(node, stop)
             leaving = asyncio.create_task(leave(node, timeout_s=settings.limits.stop_s))
             forced = asyncio.create_task(stop_now.wait())
--- a/siskinlug/exchange.py
+++ b/siskinlug/exchange.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import math
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Container
 from contextlib import asynccontextmanager, suppress
 from typing import NamedTuple
 
@@ -16,7 +16,7 @@
     RequestStartLine,
     ResponseStartLine,
 )
-from tornado.iostream import StreamClosedError
+from tornado.iostream import IOStream, StreamClosedError
 
 from siskinlug.body import BodyCut, BodyStream
 from siskinlug.connections import Connection
@@ -76,7 +76,8 @@
 
 
 class _AnswerDelegate(HTTPMessageDelegate):
-    def __init__(self) -> None:
+    def __init__(self, stream: IOStream) -> None:
+        self._stream = stream
         self.body = BodyStream()
         self.body.idle_s = ANSWER_IDLE_S
         # The answer once its head is there, or why there will be none.
@@ -97,6 +98,9 @@
         return self.body.feed(chunk)
 
     def finish(self) -> None:
+        # The codec takes a reset for the end of an answer without a length.
+        if self._stream.closed() and self._stream.error is not None:
+            self.body.cut_off()
         self.body.finish()
 
     def on_connection_close(self) -> None:
@@ -119,10 +123,19 @@
         del headers[name]
 
 
-def drop_prefix(headers: HTTPHeaders, prefix: str) -> None:
-    """Drop all headers whose name starts with a prefix in canonical case."""
+def drop_prefix(
+    headers: HTTPHeaders, prefix: str, *, keep: Container[str] = ()
+) -> None:
+    """Drop all headers whose name starts with a prefix in canonical case.
+
+    Args:
+        headers: Changed in place.
+        prefix: Start of the names.
+        keep: Names that stay.
+    """
     for name in [name for name in headers if name.startswith(prefix)]:
-        del headers[name]
+        if name not in keep:
+            del headers[name]
 
 
 def keeps_alive(answer: Answer) -> bool:
@@ -176,7 +189,7 @@
             chunk_size=CHUNK_BYTES,
         ),
     )
-    delegate = _AnswerDelegate()
+    delegate = _AnswerDelegate(connection.stream)
     reading = asyncio.ensure_future(_read(codec, delegate))
     sending: asyncio.Future[None] | None = None
     if body.whole and body.can_replay:
--- a/siskinlug/inbound.py
+++ b/siskinlug/inbound.py
@@ -230,8 +230,23 @@
     inbound.connection.finish()
 
 
-async def send_refusal(inbound: Inbound, refusal: Refusal, *, request_id: str) -> None:
-    """Send a refusal with its verdict and reason in headers and a JSON body."""
+async def send_refusal(
+    inbound: Inbound,
+    refusal: Refusal,
+    *,
+    request_id: str,
+    id_header: str = "X-Request-Id",
+    status: int | None = None,
+) -> None:
+    """Send a refusal with its verdict and reason in headers and a JSON body.
+
+    Args:
+        inbound: The request.
+        refusal: The refusal.
+        request_id: Its id, empty if it has none.
+        id_header: Header for the id.
+        status: Status in place of the one of the reason.
+    """
     headers = HTTPHeaders(
         {
             "Content-Type": "application/json",
@@ -240,11 +255,11 @@
         }
     )
     if request_id:
-        headers["X-Request-Id"] = request_id
+        headers[id_header] = request_id
     if refusal.retry_after_s is not None:
         headers["Retry-After"] = str(max(1, round(refusal.retry_after_s)))
     body = refusal_body(refusal, request_id)
-    await send_answer(inbound, refusal.status, headers, body)
+    await send_answer(inbound, status or refusal.status, headers, body)
 
 
 async def stream_answer(
--- a/siskinlug/logs.py
+++ b/siskinlug/logs.py
@@ -40,7 +40,7 @@
 
 
 def configure_logs(*, node: str, level: str) -> None:
-    """Send all logs of the process to standard error as JSON lines.
+    """Send all logs of the process to standard output as JSON lines.
 
     Args:
         node: Node id, written on each line.
@@ -51,7 +51,7 @@
     logging.use_absl_handler()
     handler = logging.get_absl_handler()
     handler.setFormatter(_JsonFormatter(node))
-    handler.python_handler.stream = sys.stderr
+    handler.python_handler.stream = sys.stdout
     logging.set_verbosity(_LEVELS[level])
     std_logging.getLogger("tornado").setLevel(std_logging.ERROR)
 
--- a/siskinlug/messages.py
+++ b/siskinlug/messages.py
@@ -13,7 +13,8 @@
     """A target's announcement or renewal to its owner (``POST /announce``).
 
     ``state`` is ``ready`` or ``leaving``; ``incarnation`` is the start time of the
-    target process in milliseconds; ``epoch`` rises each time it changes owner.
+    target process in milliseconds; ``epoch`` rises each time it changes owner;
+    ``sequence``, if given, rises with each renewal of an incarnation.
     """
 
     target: str
@@ -25,6 +26,7 @@
     epoch: int
     state: str
     probe_path: NotRequired[str]
+    sequence: NotRequired[int]
 
 
 class AnnouncementAnswer(TypedDict):
--- a/siskinlug/node.py
+++ b/siskinlug/node.py
@@ -1,16 +1,17 @@
 """One node: builds the state of all roles and connects them."""
 
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from functools import partial
 from random import Random
-from typing import Any
+from typing import Any, NamedTuple
 
 from returns.result import Failure, Success
 
 from siskinlug.account_rates import make_account_rates
 from siskinlug.admission import resize
 from siskinlug.announcements import (
+    LEASE_S,
     AdmissionLimits,
     OwnedTargets,
 )
@@ -24,17 +25,20 @@
 )
 from siskinlug.clock import HybridClock, wall_clock_ms
 from siskinlug.config_sync import (
+    FollowOperator,
     make_configuration,
     note_position,
 )
 from siskinlug.configuration import position_of
 from siskinlug.connections import Address, make_pool
+from siskinlug.dialect import OWN_DIALECT, Dialect
 from siskinlug.directory import NodeRecord
 from siskinlug.ejection import answer_promises
-from siskinlug.entry import Entry
+from siskinlug.entry_state import Entry
 from siskinlug.inbound import InboundServer
 from siskinlug.links import link_up
-from siskinlug.log_client import open_log
+from siskinlug.load_poll import make_polls
+from siskinlug.log_client import Log, open_log
 from siskinlug.membership import (
     Payload,
     change_own,
@@ -50,9 +54,10 @@
     Position,
 )
 from siskinlug.metrics import make_metrics
-from siskinlug.owner import Owner, load_of, note_incarnation
+from siskinlug.owner import Owner, load_of, note_incarnation, report_target
 from siskinlug.paths import make_paths
 from siskinlug.peer_client import call_peer, make_peer_client
+from siskinlug.placing import place_by_asking, place_by_load
 from siskinlug.promises import PromiseAnswer, PromiseRequest
 from siskinlug.quarantine import (
     Suspicion,
@@ -61,6 +66,7 @@
     merge,
 )
 from siskinlug.remote_attempts import OwnerQueries, RemoteOwners
+from siskinlug.retries import RetryAllowance
 from siskinlug.service_times import make_service_times
 from siskinlug.settings import Settings
 from siskinlug.tables import Tables
@@ -80,20 +86,66 @@
 CONFIGURATION_PATH = "/peer/configuration"
 
 
+class Members(NamedTuple):
+    """Where nodes that start find the addresses of others.
+
+    Attributes:
+        write: Keeps the address of a node; whether that succeeded.
+        read: Reads the addresses of all nodes.
+    """
+
+    write: Callable[[str, Address], Awaitable[bool]]
+    read: Callable[[], Awaitable[Sequence[Address]]]
+
+
+class Wiring(NamedTuple):
+    """What connects a node with what lies around it.
+
+    Attributes:
+        dialect: Headers of callers and targets.
+        members: Where nodes find each other; the log's stream if ``None``.
+        follow_operator: Job that takes whole configurations and calls
+            ``put_in_force``; the tables published in the log are followed if ``None``.
+        judge: How targets are judged: ``ejection`` by promises between owners, or
+            ``belief`` by each owner alone, on every answer.
+        lease_s: Time for which an announcement holds, in seconds.
+        service: Service of the VM, told to targets as that of its callers.
+        retry_allowance: From the number of nodes to what one of them may spend on
+            retries of a pool.
+        hold_answer_bytes: Answers up to this size are held until they are whole, so
+            that a cut or failed one can be tried elsewhere; 0 passes all on at once.
+    """
+
+    dialect: Dialect = OWN_DIALECT
+    members: Members | None = None
+    follow_operator: FollowOperator | None = None
+    judge: str = "ejection"
+    lease_s: float = LEASE_S
+    service: str = ""
+    retry_allowance: Callable[[int], RetryAllowance] = lambda _nodes: RetryAllowance()
+    hold_answer_bytes: int = 0
+
+
 class Node:
     """State of one node; ``open_node`` starts and stops what works on it."""
 
-    def __init__(self, settings: Settings, *, random: Random) -> None:
+    def __init__(self, settings: Settings, *, wiring: Wiring, random: Random) -> None:
         self.settings = settings
+        self.wiring = wiring
         self.random = random
         self.monotonic: Callable[[], float] = time.monotonic
         self.incarnation = wall_clock_ms()
         self.log = open_log(settings.log_url, monotonic=self.monotonic)
+        self.members = wiring.members or _members_in_log(self.log)
         self.timeline = Timeline(settings.name, HybridClock())
         self.metrics = make_metrics()
         self.connections = make_pool(monotonic=self.monotonic)
         self.peer_client = make_peer_client(self.connections, token=settings.token)
-        self.targets = OwnedTargets(monotonic=self.monotonic, limits_of=self._limits_of)
+        self.targets = OwnedTargets(
+            monotonic=self.monotonic,
+            limits_of=self._limits_of,
+            lease_s=wiring.lease_s,
+        )
         self.attempts = make_attempts(
             incarnation=self.incarnation, monotonic=self.monotonic
         )
@@ -107,6 +159,11 @@
             probe=lambda target: probe_target(self.watch, target),
             on_suspicions=lambda: push_payload(self.membership, "suspicions"),
             monotonic=self.monotonic,
+            dialect=wiring.dialect,
+            believes=wiring.judge == "belief",
+        )
+        self.polls = make_polls(
+            partial(report_target, self.owner), token=settings.token
         )
         self.configuration = make_configuration(
             self.timeline,
@@ -121,7 +178,7 @@
             monotonic=self.monotonic,
             random=random,
             seeds=[_address(peer) for peer in settings.peers],
-            read_members=self._read_members,
+            read_members=self.members.read,
             on_silent=self.connections.drop_address,
             payloads=[
                 Payload(
@@ -172,12 +229,21 @@
                 monotonic=self.monotonic,
             ),
             tables=self.tables,
-            choose=make_choice(random=random),
+            place=place_by_asking(self.polls)
+            if self.owner.believes
+            else place_by_load(make_choice(random=random)),
             metrics=self.metrics,
             monotonic=self.monotonic,
             service_times=make_service_times(monotonic=self.monotonic),
             account_rates=make_account_rates(monotonic=self.monotonic),
             claims=self.claims,
+            dialect=wiring.dialect,
+            service=wiring.service,
+            random=random,
+            retry_allowance=lambda: wiring.retry_allowance(
+                1 + len(self.membership.others())
+            ),
+            hold_answer_bytes=wiring.hold_answer_bytes,
         )
         self.server_by_port: dict[str, InboundServer] = {}
 
@@ -206,19 +272,6 @@
     async def _call(self, *args: Any, **options: Any) -> Any:
         return await call_peer(self.peer_client, *args, **options)
 
-    async def _read_members(self) -> Sequence[Address]:
-        """Read the addresses that nodes wrote to the log, newest first."""
-        end = await self.log.read(MEMBERS_STREAM, 0, limit=1)
-        if isinstance(end, Failure):
-            return ()
-        start = max(end.unwrap().first, end.unwrap().next - MEMBERS_READ)
-        page = await self.log.read(MEMBERS_STREAM, start, limit=MEMBERS_READ)
-        if isinstance(page, Failure):
-            return ()
-        newest_first = reversed(page.unwrap().records)
-        found = [member_address(entry.record) for entry in newest_first]
-        return list(dict.fromkeys(address for address in found if address))
-
     def _limits_of(self, announcement: Announcement) -> AdmissionLimits:
         """Limits of a target from the pools that take its service."""
         pools = [
@@ -231,6 +284,7 @@
             slots=slots,
             queue=min((pool.queue for pool in pools), default=0),
             queue_wait_s=min((pool.queue_wait_s for pool in pools), default=0.0),
+            patient=bool(pools) and all(p.waiting == "patient" for p in pools),
         )
 
     def _home_of(self, partition: int) -> str:
@@ -295,6 +349,29 @@
         return result.unwrap()["state"] if isinstance(result, Success) else None
 
 
+def _members_in_log(log: Log) -> Members:
+    """Keep the nodes' addresses in a stream of the log."""
+
+    async def write(node: str, address: Address) -> bool:
+        entry = {"node": node, "host": address[0], "port": address[1]}
+        written = await log.append(MEMBERS_STREAM, entry)
+        return isinstance(written, Success)
+
+    async def read() -> Sequence[Address]:
+        end = await log.read(MEMBERS_STREAM, 0, limit=1)
+        if isinstance(end, Failure):
+            return ()
+        start = max(end.unwrap().first, end.unwrap().next - MEMBERS_READ)
+        page = await log.read(MEMBERS_STREAM, start, limit=MEMBERS_READ)
+        if isinstance(page, Failure):
+            return ()
+        newest_first = reversed(page.unwrap().records)
+        found = [member_address(entry.record) for entry in newest_first]
+        return list(dict.fromkeys(address for address in found if address))
+
+    return Members(write, read)
+
+
 def member_address(entry: Any) -> Address | None:
     """Return the address in a record of the ``members`` stream, if it is one."""
     try:
@@ -308,9 +385,11 @@
     return host, int(port)
 
 
-def make_node(settings: Settings, *, random: Random | None = None) -> Node:
+def make_node(
+    settings: Settings, *, wiring: Wiring | None = None, random: Random | None = None
+) -> Node:
     """Build a node that is not yet listening."""
-    return Node(settings, random=random or Random())
+    return Node(settings, wiring=wiring or Wiring(), random=random or Random())
 
 
 def _apply_tables(node: Node) -> None:
@@ -322,6 +401,7 @@
             slots=limits.slots,
             queue=limits.queue,
             queue_wait_s=limits.queue_wait_s,
+            patient=limits.patient,
         )
 
 
@@ -354,4 +434,5 @@
         ejection_by_target={},
         task_by_target={},
         on_expired=lambda target: note_incarnation(node.owner, target, None),
+        ejects=node.wiring.judge == "ejection",
     )
--- a/siskinlug/owner.py
+++ b/siskinlug/owner.py
@@ -11,6 +11,14 @@
 from siskinlug.admission import Slot, Ticket, load_report, open_slot
 from siskinlug.announcements import Owned, OwnedTargets
 from siskinlug.attempts import Attempts, begin, finish, mark_started
+from siskinlug.belief import (
+    Sign,
+    admit,
+    probability_sound,
+    see,
+    standing_of,
+    watch_work,
+)
 from siskinlug.body import BodyStream
 from siskinlug.connections import (
     CONNECT_TIMEOUT_S,
@@ -20,6 +28,7 @@
     ConnectionPool,
     open_connection,
 )
+from siskinlug.dialect import OWN_DIALECT, Dialect
 from siskinlug.evidence import Outcome, observe
 from siskinlug.exchange import (
     Answer,
@@ -31,6 +40,8 @@
     has_length,
 )
 from siskinlug.load import LoadReport
+from siskinlug.load_poll import TargetReport
+from siskinlug.logs import log_event
 from siskinlug.probes import Silence, watch_silence
 from siskinlug.quarantine import (
     CLEAR,
@@ -47,10 +58,11 @@
 )
 from siskinlug.verdict import Reason, Refusal, Verdict, may_have_run, not_run
 
-# Header by which a target says that it shed a request without starting it.
-SHED_HEADER = "X-Shed"
-# Header by which a target learns the time left for its answer.
-DEADLINE_HEADER = "X-Request-Deadline-Ms"
+# Failing targets answer with an error within a few milliseconds (bench notes); one
+# that comes later often stems from a call that the target made.
+FAST_ERROR_S = 0.1
+# A target below this is left by the requests that wait for it.
+QUEUE_LEAVES_BELOW = 0.4
 
 _REASON_BY_CAUSE = {
     "reset": Reason.TARGET_RESET,
@@ -74,6 +86,8 @@
         deadline: Time on the owner's monotonic clock until which an answer helps.
         baseline_s: Median service time of the route at other targets, if known.
         fingerprint: Fingerprint of the request for quarantine.
+        least_sound: Probability that the target is sound below which the entry would
+            rather try another target.
     """
 
     attempt: str
@@ -86,6 +100,7 @@
     deadline: float
     baseline_s: float | None
     fingerprint: str
+    least_sound: float = 0.0
 
 
 class Owner:
@@ -102,7 +117,11 @@
         on_suspicions: Callable[[], object],
         probe: Callable[[str], Awaitable[bool]],
         monotonic: Callable[[], float],
+        dialect: Dialect = OWN_DIALECT,
+        believes: bool = False,
     ) -> None:
+        self.dialect = dialect
+        self.believes = believes
         self.targets = targets
         self.attempts = attempts
         self.quarantine = quarantine
@@ -145,6 +164,23 @@
     return load_report(owned.admission) if owned else None
 
 
+def report_target(owner: Owner, target: str) -> TargetReport | None:
+    """Report on a target of this node, if it takes requests."""
+    owned = owner.targets.with_lease(target)
+    if owned is None or owner.leaving or owned.announcement["state"] == "leaving":
+        return None
+    standing_now = standing_of(owned.belief)
+    load = load_report(owned.admission)
+    return TargetReport(
+        target,
+        round(standing_now.sound, 4),
+        standing_now.wants_trial,
+        load.in_use,
+        load.slots,
+        round(load.wait_ms / 1000, 4),
+    )
+
+
 @asynccontextmanager
 async def open_attempt(
     owner: Owner, request: AttemptRequest, head: RequestHead, body: BodyStream
@@ -225,9 +261,17 @@
         return not_run(Reason.TARGET_EJECTED, f"{request.target} is ejected")
     if request.deadline <= owner.monotonic():
         return not_run(Reason.DEADLINE)
+    if owner.believes:
+        sound = probability_sound(owned.belief)
+        if sound < request.least_sound:
+            return _doubted(request, sound)
     return _quarantine_refusal(owner, request)
 
 
+def _doubted(request: AttemptRequest, sound: float) -> Refusal:
+    return not_run(Reason.TARGET_DOUBTED, f"{request.target} is {sound:.2f} sound")
+
+
 def _quarantine_refusal(owner: Owner, request: AttemptRequest) -> Refusal | None:
     if standing(owner.quarantine, request.fingerprint) == REFUSED:
         return not_run(Reason.QUARANTINED, "the request crashed two targets")
@@ -288,6 +332,7 @@
             # With the deadline near, the time to connect ends too early to tell.
             if not timed_out or left_s >= CONNECT_TIMEOUT_S:
                 _observe(run, ok=False, hard=True)
+                _see(run, Sign.UNREACHABLE)
             failure = connected.failure()
             if failure.refused:
                 note_incarnation(owner, request.target, None)
@@ -297,6 +342,10 @@
         connection = connected.unwrap()
         # Nothing is awaited between these checks and the first byte.
         refusal = _refusal_after_queue(owner, request, run.owned)
+        if refusal is None and owner.believes:
+            belief = run.owned.belief
+            if not admit(belief, least_sound=request.least_sound):
+                refusal = _doubted(request, probability_sound(belief))
         if refusal is None and not mark_started(owner.attempts, request.attempt):
             refusal = not_run(Reason.CANCELLED, "cancelled by its entry")
         if refusal is not None:
@@ -312,6 +361,10 @@
     run: _Run, connection: Connection, head: RequestHead, body: BodyStream
 ) -> AsyncIterator[Result[Answer, Refusal]]:
     """Exchange with the target and record what it showed."""
+    if run.owner.believes:
+        async with _run_believed(run, connection, head, body) as result:
+            yield result
+        return
     started_at = run.owner.monotonic()
     probe = partial(_probe_silent, run.owner, run.request.target, connection)
     with watch_silence(run.owned.evidence, run.request.route, probe=probe) as silence:
@@ -321,9 +374,8 @@
                 yield Failure(_lost(run, connection, silence, result.failure()))
                 return
             answer = result.unwrap()
-            if answer.status == 503 and answer.headers.get(SHED_HEADER):
-                run.slot.finish(status=503, service_s=0.0, shed=True)
-                yield Failure(not_run(Reason.TARGET_SHED, run.request.target))
+            if refusal := _target_refusal(run, answer):
+                yield Failure(refusal)
                 return
             # Time to the head: the rest may wait for a slow caller.
             service_s = run.owner.monotonic() - started_at
@@ -335,6 +387,95 @@
                     _note_answered(run, silence, answer, service_s)
 
 
+@asynccontextmanager
+async def _run_believed(
+    run: _Run, connection: Connection, head: RequestHead, body: BodyStream
+) -> AsyncIterator[Result[Answer, Refusal]]:
+    """Exchange with the target and shift the belief in it by what it showed."""
+    owner, request = run.owner, run.request
+    started_at = owner.monotonic()
+    with watch_work(run.owned.belief, partial(_see, run), request.baseline_s) as watch:
+        async with _exchange(run, connection, head, body) as result:
+            watch.waiting = False
+            if isinstance(result, Failure):
+                failure = result.failure()
+                run.slot.finish(status=None, service_s=0.0, shed=False)
+                late = owner.monotonic() >= request.deadline
+                # A kept connection may be closed just as it is used again.
+                idle_close = failure.cause == "reset" and connection.reused
+                if failure.cause != "body_cut" and not late and not idle_close:
+                    _see(run, Sign.LOST)
+                if failure.cause == "reset":
+                    _note_possible_crash(run)
+                reason = _REASON_BY_CAUSE[failure.cause]
+                if failure.cause == "silent" and late:
+                    reason = Reason.DEADLINE
+                detail = f"{request.target}: {failure.cause}"
+                yield Failure(may_have_run(reason, detail))
+                return
+            answer = result.unwrap()
+            if refusal := _target_refusal(run, answer):
+                yield Failure(refusal)
+                return
+            service_s = owner.monotonic() - started_at
+            answer.headers["Siskinlug-Service-Ms"] = f"{service_s * 1000:.2f}"
+            if answer.status >= 500:
+                fast = service_s < FAST_ERROR_S
+                _see(run, Sign.FAST_ERROR if fast else Sign.LATE_ERROR)
+            elif not watch.counted:
+                _see(run, Sign.WORKS)
+            try:
+                yield Success(answer)
+            finally:
+                run.slot.finish(status=answer.status, service_s=service_s, shed=False)
+                if answer.body.cut:
+                    _see(run, Sign.LOST)
+                    _note_possible_crash(run)
+                elif answer.body.whole and answer.status < 500:
+                    _note_survived(run)
+
+
+def _see(run: _Run, sign: Sign) -> None:
+    """Shift the belief in a target, and let its queue go elsewhere if it fails."""
+    belief = run.owned.belief
+    before = probability_sound(belief)
+    after = see(belief, sign)
+    if (after < QUEUE_LEAVES_BELOW) != (before < QUEUE_LEAVES_BELOW):
+        log_event(
+            "target_doubted" if after < before else "target_trusted",
+            target=run.request.target,
+            sign=sign.name.lower(),
+            request_id=run.request.attempt,
+            sound_before=round(before, 3),
+            sound=round(after, 3),
+        )
+    if after < QUEUE_LEAVES_BELOW:
+        run.owned.admission.refuse_queued(Reason.TARGET_DOUBTED)
+
+
+def _note_survived(run: _Run) -> None:
+    owner, fingerprint = run.owner, run.request.fingerprint
+    if standing(owner.quarantine, fingerprint) != CLEAR:
+        note_survived(owner.quarantine, fingerprint)
+        owner.on_suspicions()
+
+
+def _target_refusal(run: _Run, answer: Answer) -> Refusal | None:
+    """Return the refusal that a target's answer stands for, if it is one."""
+    dialect = run.owner.dialect
+    if answer.status == 421 and dialect.expected_target:
+        run.slot.finish(status=None, service_s=0.0, shed=False)
+        _see(run, Sign.UNREACHABLE)
+        return not_run(Reason.TARGET_UNKNOWN, f"{run.request.target} has moved")
+    # A target of our own dialect sheds with 503 alone.
+    if answer.headers.get(dialect.not_run) and (
+        answer.status == 503 or dialect.expected_target
+    ):
+        run.slot.finish(status=503, service_s=0.0, shed=True)
+        return not_run(Reason.TARGET_SHED, run.request.target)
+    return None
+
+
 async def _probe_silent(owner: Owner, target: str, connection: Connection) -> bool:
     """Probe a target that has been silent for longer than usual.
 
@@ -352,15 +493,26 @@
     run: _Run, connection: Connection, head: RequestHead, body: BodyStream
 ) -> AsyncIterator[Result[Answer, ExchangeFailure]]:
     left_s = run.request.deadline - run.owner.monotonic()
-    headers = head.headers
+    headers, dialect = head.headers, run.owner.dialect
     drop_hop_by_hop(headers)
-    drop_prefix(headers, "Siskinlug-")
-    headers[DEADLINE_HEADER] = str(max(1, int(left_s * 1000)))
+    drop_prefix(
+        headers, "Siskinlug-", keep={dialect.request_id, dialect.caller_service}
+    )
+    headers[dialect.target_wait_ms] = str(max(1, int(left_s * 1000)))
+    if dialect.expected_target:
+        headers[dialect.expected_target] = run.request.target
+    request_id = headers.get(dialect.request_id)
     async with exchange(connection, head, body, first_byte_s=left_s) as result:
         if isinstance(result, Success):
             answer = result.unwrap()
-            drop_prefix(answer.headers, "Siskinlug-")
-            if not has_length(head.method, answer):
+            answered_id = answer.headers.get(dialect.request_id)
+            keep = {*dialect.kept_on_answers, dialect.not_run}
+            drop_prefix(answer.headers, "Siskinlug-", keep=keep)
+            if dialect.answer_id and answered_id != request_id and answer.status < 400:
+                # A late answer to an earlier request on this connection.
+                yield Failure(ExchangeFailure(True, "malformed"))
+                return
+            if not has_length(head.method, answer) and not dialect.close_ends_answers:
                 # Without a length a cut answer would look like a whole one.
                 yield Failure(ExchangeFailure(True, "malformed"))
                 return
--- a/siskinlug/peer_server.py
+++ b/siskinlug/peer_server.py
@@ -149,6 +149,7 @@
             deadline=now + int(headers["Siskinlug-Deadline-Ms"]) / 1000,
             baseline_s=float(baseline) / 1000 if baseline else None,
             fingerprint=headers["Siskinlug-Fingerprint"],
+            least_sound=float(headers.get("Siskinlug-Least-Sound", 0.0)),
         )
     except KeyError as error:
         raise ValueError(f"header {error} is missing") from None
--- /dev/null
+++ b/siskinlug/placement.py
@@ -0,0 +1,101 @@
+"""Placement: which of the targets that were asked gets a request."""
+
+import math
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from siskinlug.choice import Candidate
+
+# Share of a request's worth that a megabyte between failure domains costs the users:
+# 4,300 for a gigabyte on both price lists.
+CROSS_DOMAIN_COST_PER_MB = 4.3
+# Cost of a failed first attempt of a request that may be repeated: it takes part of
+# the retry budget and time, and the second attempt may fail as well.
+REPEAT_COST = 0.12
+# What is learned by a trial, for each unit of the belief's variance.
+TRIAL_GAIN = 0.5
+# Cost of a wait as long as the objective, which leaves no time for the work itself.
+WAIT_COST = 1.0
+# Decides between targets that are alike: the one with more free slots.
+USE_COST = 0.02
+
+
+class TargetState(NamedTuple):
+    """What the owner of a target said of it just now.
+
+    Attributes:
+        candidate: The target.
+        sound: Probability that it is sound.
+        wants_trial: Whether it may be tried by a request that may be repeated.
+        in_use: Slots taken.
+        slots: Slots of the target.
+        wait_s: Expected wait of a new request, in seconds.
+    """
+
+    candidate: Candidate
+    sound: float
+    wants_trial: bool
+    in_use: int
+    slots: int
+    wait_s: float
+
+
+class Need(NamedTuple):
+    """What matters of a request when it is placed.
+
+    Attributes:
+        may_trial: Whether it may try a doubted target: it may be repeated, and this is
+            neither its first nor its only attempt.
+        objective_s: Time within which its answer is of full use, in seconds.
+        megabytes: Expected size of request and answer, in megabytes.
+    """
+
+    may_trial: bool
+    objective_s: float
+    megabytes: float
+
+
+class Placed(NamedTuple):
+    """A target chosen for a request.
+
+    Attributes:
+        state: The target.
+        cost: Expected loss, as a share of the request's worth.
+    """
+
+    state: TargetState
+    cost: float
+
+
+def expected_cost(state: TargetState, need: Need) -> float:
+    """Return the expected loss at a target, as a share of the request's worth."""
+    cost = WAIT_COST * state.wait_s / max(need.objective_s, 0.01)
+    cost += USE_COST * state.in_use / max(state.slots, 1)
+    if state.candidate.distance > 1:
+        cost += CROSS_DOMAIN_COST_PER_MB * need.megabytes
+    failing = 1.0 - state.sound
+    if not need.may_trial:
+        return cost + failing
+    cost += REPEAT_COST * failing
+    if state.wants_trial:
+        cost -= TRIAL_GAIN * state.sound * failing
+    return cost
+
+
+def place(states: Iterable[TargetState], need: Need) -> Placed | None:
+    """Choose the target with the least expected loss.
+
+    Args:
+        states: Targets that answered, in random order; the first of equals is chosen.
+        need: The request.
+
+    Returns:
+        The target, or ``None`` if none answered.
+    """
+    best: Placed | None = None
+    least = math.inf
+    for state in states:
+        cost = expected_cost(state, need)
+        if cost < least:
+            best, least = Placed(state, cost), cost
+    return best
--- a/siskinlug/remote_attempts.py
+++ b/siskinlug/remote_attempts.py
@@ -151,6 +151,7 @@
     headers["Siskinlug-Idempotent"] = "yes" if attempt.idempotent else "no"
     headers["Siskinlug-Deadline-Ms"] = str(max(0, left_ms))
     headers["Siskinlug-Fingerprint"] = attempt.fingerprint
+    headers["Siskinlug-Least-Sound"] = f"{attempt.least_sound:.3f}"
     if attempt.baseline_s is not None:
         headers["Siskinlug-Baseline-Ms"] = f"{attempt.baseline_s * 1000:.2f}"
     else:
--- a/siskinlug/retries.py
+++ b/siskinlug/retries.py
@@ -1,6 +1,7 @@
 """Retry budget of a pool, the rule for retries and the rule for hedging."""
 
 from collections.abc import Callable
+from typing import NamedTuple
 
 from siskinlug.tables import Route
 from siskinlug.verdict import Reason, Refusal, Verdict
@@ -17,9 +18,12 @@
         Reason.TARGET_EJECTED,
         Reason.TARGET_UNREACHABLE,
         Reason.PEER_UNREACHABLE,
+        Reason.TARGET_DOUBTED,
     }
 )
 FREE_ATTEMPTS = 3
+# Owners that refuse before a target hears of a request cost a round trip each.
+REFUSED_ATTEMPTS = 12
 # Refusals that any other target would repeat.
 FINAL_REASONS = frozenset(
     {
@@ -40,6 +44,18 @@
 HEDGE_RATIO = 10.0
 
 
+class RetryAllowance(NamedTuple):
+    """What one entry may spend on retries of a pool.
+
+    Attributes:
+        ratio: Retries for each success.
+        burst: Retries that may be spent at once after a pause.
+    """
+
+    ratio: float = 0.1
+    burst: float = 10.0
+
+
 class RetryBudget:
     """Credit for retries: a share of the pool's successes.
 
@@ -115,6 +131,7 @@
     deadline: float,
     expected_s: float,
     budget: RetryBudget,
+    sent: int | None = None,
 ) -> bool:
     """Decide on another attempt, and spend the budget for it.
 
@@ -126,6 +143,8 @@
         deadline: Deadline on the same clock.
         expected_s: Expected duration of another attempt in seconds.
         budget: The pool's retry budget.
+        sent: Attempts that may have run, where only these count against the route's
+            retries; ``None`` counts all.
 
     Returns:
         Whether to make another attempt.
@@ -136,8 +155,13 @@
         return False
     if now + expected_s > deadline:
         return False
+    if sent is not None and refusal.verdict is Verdict.NOT_RUN:
+        # Only a target that refused by itself has got the request.
+        reached = refusal.reason is Reason.TARGET_SHED
+        return attempt <= REFUSED_ATTEMPTS and (not reached or budget.try_spend())
     if refusal.verdict is Verdict.NOT_RUN and refusal.reason in FREE_REASONS:
         return attempt <= max(route.retries, FREE_ATTEMPTS)
+    attempt = attempt if sent is None else sent
     return attempt <= route.retries and budget.try_spend()
 
 
--- a/siskinlug/serving.py
+++ b/siskinlug/serving.py
@@ -1,14 +1,21 @@
 """Serving: the ports and tasks of one node, and its planned stop."""
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+from collections.abc import (
+    AsyncIterator,
+    Awaitable,
+    Callable,
+    Iterable,
+    Mapping,
+    Sequence,
+)
 from contextlib import AsyncExitStack, asynccontextmanager
 from functools import partial
-from typing import Any, TypeVar
+from typing import Any, NamedTuple, TypeVar
 
 import msgspec
 from absl import logging
-from returns.result import Failure, Success
+from returns.result import Failure, Result, Success
 
 from siskinlug.admin import (
     explain_page,
@@ -22,6 +29,7 @@
 from siskinlug.announcements import (
     INTERVAL_S,
     accept_announcement,
+    withdraw,
 )
 from siskinlug.attempts import cancel, state_of
 from siskinlug.claim_messages import ClaimsAnswer, ClaimsRequest
@@ -30,10 +38,13 @@
     answer_configuration,
     configuration_page,
     follow_configuration,
+    follow_declarations,
 )
+from siskinlug.connections import Address
 from siskinlug.ejection import answer_promises
 from siskinlug.entry import serve_caller
-from siskinlug.inbound import InboundLimits, drain_server, open_server
+from siskinlug.inbound import InboundLimits, Serve, drain_server, open_server
+from siskinlug.load_poll import open_polls
 from siskinlug.logs import log_event
 from siskinlug.membership import (
     announce_leaving,
@@ -56,7 +67,6 @@
 from siskinlug.node import (
     CLAIMS_PATH,
     CONFIGURATION_PATH,
-    MEMBERS_STREAM,
     PROMISES_PATH,
     Node,
 )
@@ -81,6 +91,8 @@
 LEAVE_QUIET_S = 0.5
 # 430 nodes write 1.4 records/s; the log must keep records for longer than this.
 MEMBER_WRITE_S = 300.0
+# A node whose address could not be kept is not found by nodes that start meanwhile.
+MEMBER_RETRY_S = 2.0
 
 MessageT = TypeVar("MessageT")
 
@@ -100,16 +112,44 @@
         return AnnouncementAnswer(
             lease_s=0.0, interval_s=INTERVAL_S, alternatives=alternatives
         )
-    known = message["target"] in node.targets.owned_by_target
-    accepted = accept_announcement(node.targets, message, alternatives=alternatives)
+    accepted = announce_target(node, message, alternatives=alternatives)
     if isinstance(accepted, Failure):
         raise ValueError(accepted.failure())
-    if not known:
+    return accepted.unwrap()
+
+
+def announce_target(
+    node: Node, message: Announcement, *, alternatives: Iterable[str] = ()
+) -> Result[AnnouncementAnswer, str]:
+    """Take an announcement of a target, also while this node is leaving.
+
+    Returns:
+        The answer, or what is wrong with the announcement.
+    """
+    held = node.targets.owned_by_target.get(message["target"])
+    accepted = accept_announcement(node.targets, message, alternatives=alternatives)
+    if isinstance(accepted, Failure):
+        return accepted
+    if held is None:
         detail = f"{message['service']}, {message['slots']} slots"
         record(node.timeline, Kind.TARGET_ANNOUNCED, message["target"], detail)
+    elif message["state"] == "leaving" != held.announcement["state"]:
+        record(node.timeline, Kind.TARGET_LEAVING, message["target"], "announced")
     note_incarnation(node.owner, message["target"], message["incarnation"])
     publish_targets(node.watch)
-    return accepted.unwrap()
+    return accepted
+
+
+def withdraw_target(node: Node, target: str) -> None:
+    """Take a target's word that it is gone: it gets no work from now on."""
+    if withdraw(node.targets, target):
+        record(node.timeline, Kind.TARGET_LEAVING, target, "withdrew")
+        publish_targets(node.watch)
+
+
+def is_ready(node: Node) -> bool:
+    """Whether this node takes work of callers."""
+    return bool(node.tables().routes_version) and not node.owner.leaving
 
 
 async def _follow_configuration(node: Node) -> None:
@@ -126,22 +166,29 @@
         )
         return bytes(result.unwrap()) if isinstance(result, Success) else None
 
+    def push() -> None:
+        push_payload(node.membership, "configuration")
+
+    follow = node.wiring.follow_operator
+    if follow is not None:
+        await follow_declarations(node.configuration, follow, fetch=fetch, push=push)
+        return
     await follow_configuration(
         node.configuration,
         node.log,
         fetch=fetch,
-        push=lambda: push_payload(node.membership, "configuration"),
+        push=push,
         nodes=lambda: 1 + len(node.membership.others()),
     )
 
 
 async def _write_member(node: Node) -> None:
-    """Write this node's address to the log, for nodes that start without seeds."""
+    """Keep this node's address where nodes that start look for others."""
     while True:
         own = node.membership.directory.own
-        entry = {"node": own.node, "host": own.host, "port": own.peer_port}
-        await node.log.append(MEMBERS_STREAM, entry)
-        await asyncio.sleep(MEMBER_WRITE_S * node.random.uniform(0.8, 1.2))
+        written = await node.members.write(own.node, (own.host, own.peer_port))
+        pause_s = MEMBER_WRITE_S if written else MEMBER_RETRY_S
+        await asyncio.sleep(pause_s * node.random.uniform(0.8, 1.2))
 
 
 def _message_handler(
@@ -190,7 +237,15 @@
     return handler_by_path
 
 
-def _open_servers(node: Node) -> None:
+class ExtraPort(NamedTuple):
+    """A port beyond those of the settings, for small messages."""
+
+    name: str
+    address: Address
+    serve: Serve
+
+
+def _open_servers(node: Node, extra: Sequence[ExtraPort]) -> None:
     settings, limits = node.settings, node.settings.limits
     directory = node.membership.directory
 
@@ -234,6 +289,7 @@
     for name, host, port, server, bounds in (
         ("peer_port", settings.host, settings.peer_port, peer, peer_limits),
         ("admin_port", settings.admin_host, settings.admin_port, admin, admin_limits),
+        *((p.name, *p.address, p.serve, admin_limits) for p in extra),
         ("caller_port", settings.host, settings.caller_port, serve, caller_limits),
     ):
         try:
@@ -261,9 +317,15 @@
 
 
 @asynccontextmanager
-async def open_node(node: Node) -> AsyncIterator[None]:
+async def open_node(
+    node: Node, *, extra: Sequence[ExtraPort] = ()
+) -> AsyncIterator[None]:
     """Listen on the node's ports and run its tasks inside the block.
 
+    Args:
+        node: The node.
+        extra: Ports beyond those of the settings.
+
     Raises:
         PortError: A port is taken; nothing is left listening.
     """
@@ -277,7 +339,13 @@
         stack.callback(node.connections.close)
         stack.push_async_callback(close_claims, node.claims)
         stack.callback(_stop_listening, node)
-        _open_servers(node)
+        _open_servers(node, extra)
+        if node.owner.believes:
+            await stack.enter_async_context(
+                open_polls(
+                    node.polls, host=node.settings.host, port=node.settings.peer_port
+                )
+            )
         await stack.enter_async_context(supervise(jobs))
         record(node.timeline, Kind.NODE_STARTED, node.settings.name)
         ports = {name: server.port for name, server in node.server_by_port.items()}
--- a/siskinlug/tables.py
+++ b/siskinlug/tables.py
@@ -42,6 +42,9 @@
         account_rate: Requests/s for one account at one entry; 0 is no limit.
         claims_without_log: ``refuse`` or ``memory``: what happens to a request with
             an idempotency key while the log is away.
+        split: Weight by pool, in place of ``pool``; empty sends all to ``pool``.
+        objective_s: Time within which an answer is of full use to the caller; 0 is
+            the timeout.
     """
 
     name: str
@@ -57,6 +60,8 @@
     account_header: str = "X-Account"
     account_rate: float = 0.0
     claims_without_log: str = "refuse"
+    split: Mapping[str, float] = {}
+    objective_s: float = 0.0
 
 
 class Pool(NamedTuple):
@@ -73,6 +78,8 @@
         queue: Requests that may wait at each target.
         queue_wait_s: Longest wait in a queue.
         weight_by_domain: Weight by failure domain; 1 where absent.
+        waiting: ``short`` refuses requests while a queue stands; ``patient`` lets
+            them wait for as long as they can still finish before their deadline.
     """
 
     name: str
@@ -85,6 +92,7 @@
     queue: int = 32
     queue_wait_s: float = 2.0
     weight_by_domain: Mapping[str, float] = {}
+    waiting: str = "short"
 
 
 class Tables(NamedTuple):
@@ -128,21 +136,26 @@
     return describe(parse_all, f"words, each {KeySpec(parse, '', '', '').accepts}")
 
 
-def _weights(text: str) -> dict[str, float]:
-    """Accept words of the form ``domain:weight``."""
-    parse_weight = number(0.01, 100)
-    weight_by_domain: dict[str, float] = {}
-    for word in words(text):
-        domain, separator, weight = word.rpartition(":")
-        if not separator:
-            raise ValueError(f"{word!r} is not domain:weight")
-        if _NAME(domain) in weight_by_domain:
-            raise ValueError(f"{domain} is given twice")
-        weight_by_domain[domain] = parse_weight(weight)
-    return weight_by_domain
+def _weights(kind: str, low: float, high: float) -> Callable[[str], dict[str, float]]:
+    """Accept words of the form ``kind:weight``."""
+    parse_weight = number(low, high)
 
+    def parse(text: str) -> dict[str, float]:
+        weight_by_name: dict[str, float] = {}
+        for word in words(text):
+            name, separator, weight = word.rpartition(":")
+            if not separator:
+                raise ValueError(f"{word!r} is not {kind}:weight")
+            if _NAME(name) in weight_by_name:
+                raise ValueError(f"{name} is given twice")
+            weight_by_name[name] = parse_weight(weight)
+        return weight_by_name
 
-describe(_weights, "words `domain:weight`, each weight 0.01 to 100")
+    return describe(parse, f"words `{kind}:weight`, each weight {low:g} to {high:g}")
+
+
+_DOMAIN_WEIGHTS = _weights("domain", 0.01, 100)
+_POOL_WEIGHTS = _weights("pool", 0, 1_000_000)
 
 ROUTE_SPECS: Mapping[str, KeySpec] = {
     "host": KeySpec(_HOST, ANY, "", "Host to match without port; `*` is any."),
@@ -185,6 +198,19 @@
         "",
         "Treatment of requests with an Idempotency-Key while the log is unavailable.",
     ),
+    "split": KeySpec(
+        _POOL_WEIGHTS,
+        {},
+        "",
+        "Weights as `pool:weight`, in place of `pool`; a pool keeps its share also "
+        "while it has no room.",
+    ),
+    "objective_s": KeySpec(
+        number(0, 3600),
+        0.0,
+        "s",
+        "Time within which an answer is of full use; 0 is the timeout.",
+    ),
 }
 
 POOL_SPECS: Mapping[str, KeySpec] = {
@@ -215,7 +241,14 @@
         number(0, 600), 2.0, "s", "Longest wait in a target's queue."
     ),
     "weight_by_domain": KeySpec(
-        _weights, {}, "", "Weights as `domain:weight`; 1 for a domain not named."
+        _DOMAIN_WEIGHTS, {}, "", "Weights as `domain:weight`; 1 for a domain not named."
+    ),
+    "waiting": KeySpec(
+        one_of("short", "patient"),
+        "short",
+        "",
+        "`short` refuses requests while a queue stands; `patient` lets them wait for "
+        "as long as they can finish before their deadline.",
     ),
 }
 
@@ -266,17 +299,17 @@
     Returns:
         A fault for each route to a missing pool.
     """
-    missing = [r for r in routes_by_name.values() if r.pool not in pools_by_name]
+    missing = [
+        (route.name, key, pool)
+        for route in routes_by_name.values()
+        for key, pools in (("pool", (route.pool,)), ("split", route.split))
+        for pool in pools
+        if pool not in pools_by_name
+    ]
     lines = locate_keys(routes_text) if missing else {}
     return [
-        Fault(
-            file,
-            lines.get((route.name, "pool"), 0),
-            route.name,
-            "pool",
-            f"there is no pool {route.pool!r}",
-        )
-        for route in missing
+        Fault(file, lines.get((name, key), 0), name, key, f"there is no pool {pool!r}")
+        for name, key, pool in missing
     ]
 
 
--- a/siskinlug/timeline.py
+++ b/siskinlug/timeline.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from siskinlug.clock import HybridClock, Timestamp
+from siskinlug.logs import log_event
 
 RING_EVENTS = 4096
 _BEGINNING = Timestamp(0, 0)
@@ -143,3 +144,4 @@
     """
     event = Event(timeline.clock.now(), timeline.node, str(kind), subject, detail)
     timeline.append(event)
+    log_event(event.kind, subject=subject, detail=detail)
--- a/siskinlug/verdict.py
+++ b/siskinlug/verdict.py
@@ -29,6 +29,8 @@
     TARGET_UNKNOWN = "target_unknown"
     LEASE_LAPSED = "lease_lapsed"
     TARGET_SHED = "target_shed"
+    TARGET_DOUBTED = "target_doubted"
+    TARGET_FAILED = "target_failed"
     TARGET_UNREACHABLE = "target_unreachable"
     TARGET_RESET = "target_reset"
     TARGET_SILENT = "target_silent"
@@ -121,6 +123,16 @@
         "The target itself refused the request before it started it.",
         "Add targets, or lower `slots`.",
     ),
+    Reason.TARGET_DOUBTED: ReasonInfo(
+        503,
+        "The target's owner holds it for failing, on what its last answers showed.",
+        "Look at the `sign` lines of the target in its owner's log.",
+    ),
+    Reason.TARGET_FAILED: ReasonInfo(
+        502,
+        "The target answered with a failure, and so did every other one tried.",
+        "Look at the target's own log.",
+    ),
     Reason.TARGET_UNREACHABLE: ReasonInfo(
         502,
         "No connection to the target could be opened.",
--- a/siskinlug/watch.py
+++ b/siskinlug/watch.py
@@ -9,7 +9,6 @@
 from returns.result import Success
 
 from siskinlug.announcements import (
-    LEASE_S,
     Owned,
     OwnedTargets,
     drop_expired,
@@ -52,6 +51,7 @@
         ejection_by_target: Ejection state of each owned target.
         task_by_target: The task that runs it.
         on_expired: Called with each target whose lease has expired.
+        ejects: Whether targets are ejected here.
     """
 
     targets: OwnedTargets
@@ -66,6 +66,7 @@
     ejection_by_target: dict[str, Ejection]
     task_by_target: dict[str, asyncio.Task[None]]
     on_expired: Callable[[str], None]
+    ejects: bool = True
 
 
 def is_ejected(watch: Watch, target: str, route: str) -> bool:
@@ -88,7 +89,7 @@
     try:
         while True:
             for target in drop_expired(watch.targets):
-                detail = f"no renewal for {LEASE_S:g} s"
+                detail = f"no renewal for {watch.targets.lease_s:g} s"
                 record(watch.timeline, Kind.TARGET_LEASE_LAPSED, target, detail)
                 watch.on_expired(target)
             _match_tasks(watch)
@@ -108,7 +109,7 @@
         if ended or owned is None or owned.evidence is not ejection.evidence:
             _forget(watch, target)
     for target, owned in owned_by_target.items():
-        if target not in watch.ejection_by_target:
+        if watch.ejects and target not in watch.ejection_by_target:
             _start(watch, target, owned)
 
 
