--- a/siskinlug/admission.py
+++ b/siskinlug/admission.py
@@ -335,7 +335,8 @@
         self._failing += FAILURE_WEIGHT * (failed - self._failing)
         self._failing_at = self.monotonic()
         if shed:
-            self._lower(slot, SHED_FACTOR)
+            if not self.patient:
+                self._lower(slot, SHED_FACTOR)
             return
         # Errors and lost answers say nothing about service time: a target that
         # fails at once would look fast and attract more work.
@@ -355,7 +356,8 @@
                 self._times_by_route.popitem(last=False)
         self._times_by_route.move_to_end(slot.ticket.route)
         times.add(service_s)
-        if times.recent.value > SLOW_RATIO * times.usual.value:
+        slow = times.recent.value > SLOW_RATIO * times.usual.value
+        if slow and not self.patient:
             self._lower(slot, SLOW_FACTOR)
         else:
             self.limit = min(self.limit + 1.0 / max(self.limit, 1.0), self.slots)
--- a/siskinlug/inbound.py
+++ b/siskinlug/inbound.py
@@ -110,6 +110,8 @@
 
     def finish(self) -> None:
         self._body.finish()
+        # Once the request is whole the codec tells only this callback of a close.
+        self._connection.set_close_callback(self.on_connection_close)  # type: ignore[attr-defined]
 
     def on_connection_close(self) -> None:
         self._body.cut_off()
--- a/siskinlug/owner.py
+++ b/siskinlug/owner.py
@@ -476,6 +476,17 @@
     return None
 
 
+def _is_own_answer(answer: Answer, answered: str | None, sent: str | None) -> bool:
+    """Whether an answer belongs to the request that was sent last.
+
+    A late answer to an earlier request on the connection bears the id of that one.
+    """
+    if answered is None:
+        # Whoever fails without reading the request knows no id.
+        return answer.status >= 400
+    return answered == sent
+
+
 async def _probe_silent(owner: Owner, target: str, connection: Connection) -> bool:
     """Probe a target that has been silent for longer than usual.
 
@@ -508,8 +519,9 @@
             answered_id = answer.headers.get(dialect.request_id)
             keep = {*dialect.kept_on_answers, dialect.not_run}
             drop_prefix(answer.headers, "Siskinlug-", keep=keep)
-            if dialect.answer_id and answered_id != request_id and answer.status < 400:
-                # A late answer to an earlier request on this connection.
+            if dialect.answer_id and not _is_own_answer(
+                answer, answered_id, request_id
+            ):
                 yield Failure(ExchangeFailure(True, "malformed"))
                 return
             if not has_length(head.method, answer) and not dialect.close_ends_answers:
--- a/siskinlug/placement.py
+++ b/siskinlug/placement.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from siskinlug.belief import TRIAL_BELOW
 from siskinlug.choice import Candidate
 
 # Share of a request's worth that a megabyte between failure domains costs the users:
@@ -95,6 +96,9 @@
     best: Placed | None = None
     least = math.inf
     for state in states:
+        if state.sound < TRIAL_BELOW and not state.wants_trial:
+            # Its owner would refuse: a trial is running there.
+            continue
         cost = expected_cost(state, need)
         if cost < least:
             best, least = Placed(state, cost), cost
--- a/siskinlug/placing.py
+++ b/siskinlug/placing.py
@@ -27,7 +27,7 @@
 # Work that may not be repeated waits for a target at least this likely to be sound,
 # and at the end of its wait goes to one that is at least somewhat likely to be.
 SOUND_ENOUGH = 0.85
-SOUND_AT_LEAST = 0.3
+SOUND_AT_LEAST = 0.1
 # How much worse than an entry was told a target may have become when a request
 # arrives there.
 SOUND_SLACK = 0.2
