Queue patient requests by due time, those that can still meet it first

Tried before: the queue of the short pools with its bounds taken off; it is first come first served and has the same fault.

Change: pools with 'waiting = patient' get a queue of their own, by priority and due time; what can no longer meet its objective goes after what can; long work leaves the last slot. The entry sends the due time along.

--- a/siskinlug/admission.py
+++ b/siskinlug/admission.py
@@ -7,7 +7,7 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from random import Random
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from returns.result import Failure, Result, Success
 
@@ -57,6 +57,7 @@
         priority: 0 is served first, 9 last.
         long_work: Whether the request counts as long work.
         deadline: Deadline on the monotonic clock.
+        due: Time until which an answer is of full use, on the same clock.
     """
 
     attempt: str
@@ -65,6 +66,7 @@
     priority: int
     long_work: bool
     deadline: float
+    due: float = math.inf
 
 
 class _RouteTimes:
@@ -159,10 +161,33 @@
         return True
 
 
+class Admits(Protocol):
+    """What a slot and its users need of an admission."""
+
+    closed: Reason | None
+
+    async def enter(self, ticket: Ticket) -> "Result[Slot, Refusal]":
+        """Wait for a slot."""
+
+    def note_answer(
+        self, slot: "Slot", status: int | None, service_s: float, shed: bool
+    ) -> None:
+        """Learn from one answer."""
+
+    def release(self, slot: "Slot") -> None:
+        """Free a slot."""
+
+    def refuse_queued(self, reason: Reason) -> None:
+        """Refuse all that is queued as not run."""
+
+    def report(self) -> LoadReport:
+        """Return the load report."""
+
+
 class Slot:
     """A slot of the target, held while one attempt runs."""
 
-    def __init__(self, admission: "Admission", ticket: Ticket, started: float) -> None:
+    def __init__(self, admission: "Admits", ticket: Ticket, started: float) -> None:
         self.admission = admission
         self.ticket = ticket
         self.started = started
@@ -205,10 +230,8 @@
         queue_wait_s: float,
         monotonic: Callable[[], float],
         random: Random,
-        patient: bool = False,
     ) -> None:
         self.target = target
-        self.patient = patient
         self.slots = slots
         self.queue = queue
         self.queue_wait_s = queue_wait_s
@@ -282,8 +305,6 @@
 
     def allowed_wait_s(self) -> float:
         """Return the longest wait allowed now, in seconds."""
-        if self.patient:
-            return self.queue_wait_s
         mean = self._mean_by_class[False]
         after_s = max(STANDING_AFTER_S, STANDING_AFTER_SERVICES * mean)
         if (
@@ -335,8 +356,7 @@
         self._failing += FAILURE_WEIGHT * (failed - self._failing)
         self._failing_at = self.monotonic()
         if shed:
-            if not self.patient:
-                self._lower(slot, SHED_FACTOR)
+            self._lower(slot, SHED_FACTOR)
             return
         # Errors and lost answers say nothing about service time: a target that
         # fails at once would look fast and attract more work.
@@ -356,8 +376,7 @@
                 self._times_by_route.popitem(last=False)
         self._times_by_route.move_to_end(slot.ticket.route)
         times.add(service_s)
-        slow = times.recent.value > SLOW_RATIO * times.usual.value
-        if slow and not self.patient:
+        if times.recent.value > SLOW_RATIO * times.usual.value:
             self._lower(slot, SLOW_FACTOR)
         else:
             self.limit = min(self.limit + 1.0 / max(self.limit, 1.0), self.slots)
@@ -597,7 +616,6 @@
     queue_wait_s: float,
     monotonic: Callable[[], float],
     random: Random | None = None,
-    patient: bool = False,
 ) -> Admission:
     """Make the admission of one target; its owner is the only one to use it.
 
@@ -608,7 +626,6 @@
         queue_wait_s: Longest wait in seconds.
         monotonic: Clock in seconds.
         random: Source of the spread of Retry-After.
-        patient: Whether requests may wait in a standing queue, to their deadline.
     """
     return Admission(
         target=target,
@@ -617,13 +634,12 @@
         queue_wait_s=queue_wait_s,
         monotonic=monotonic,
         random=random or Random(),
-        patient=patient,
     )
 
 
 @asynccontextmanager
 async def open_slot(
-    admission: Admission, ticket: Ticket
+    admission: Admits, ticket: Ticket
 ) -> AsyncIterator[Result[Slot, Refusal]]:
     """Wait for a slot and hold it for the body of the ``async with``.
 
@@ -643,12 +659,12 @@
             result.unwrap().release()
 
 
-def load_report(admission: Admission) -> LoadReport:
+def load_report(admission: Admits) -> LoadReport:
     """Return the load report for answers of this target."""
     return admission.report()
 
 
-def close(admission: Admission, reason: Reason = Reason.NODE_LEAVING) -> None:
+def close(admission: Admits, reason: Reason = Reason.NODE_LEAVING) -> None:
     """Refuse all that is queued and all that arrives as not run.
 
     Attempts in slots go on. Used for a planned stop, a target that leaves and a
@@ -658,21 +674,15 @@
     admission.refuse_queued(reason)
 
 
-def reopen(admission: Admission) -> None:
+def reopen(admission: Admits) -> None:
     """Admit again, after a lapsed lease was renewed."""
     admission.closed = None
 
 
 def resize(
-    admission: Admission,
-    *,
-    slots: int,
-    queue: int,
-    queue_wait_s: float,
-    patient: bool = False,
+    admission: Admission, *, slots: int, queue: int, queue_wait_s: float
 ) -> None:
     """Apply changed slots of the target or a changed pools table."""
-    admission.patient = patient
     admission.slots = slots
     admission.limit = min(admission.limit, float(slots))
     admission.queue = queue
--- a/siskinlug/announcements.py
+++ b/siskinlug/announcements.py
@@ -5,8 +5,9 @@
 
 from returns.result import Failure, Result, Success
 
-from siskinlug.admission import Admission, close, make_admission
+from siskinlug.admission import Admission, Admits, close, make_admission, resize
 from siskinlug.belief import Belief, make_belief
+from siskinlug.deadline_queue import DeadlineAdmission, make_deadline_admission
 from siskinlug.directory import TargetRecord
 from siskinlug.evidence import Evidence, make_evidence
 from siskinlug.messages import Announcement, AnnouncementAnswer
@@ -23,7 +24,7 @@
 
     announcement: Announcement
     lease_until: float
-    admission: Admission
+    admission: Admits
     evidence: Evidence
     belief: Belief
 
@@ -122,14 +123,7 @@
         owned = Owned(
             announcement=message,
             lease_until=lease_until,
-            admission=make_admission(
-                target=message["target"],
-                slots=limits.slots,
-                queue=limits.queue,
-                queue_wait_s=limits.queue_wait_s,
-                patient=limits.patient,
-                monotonic=targets.monotonic,
-            ),
+            admission=_make_admission(message["target"], limits, targets.monotonic),
             evidence=make_evidence(monotonic=targets.monotonic),
             belief=make_belief(monotonic=targets.monotonic),
         )
@@ -166,6 +160,49 @@
     return None
 
 
+def _make_admission(
+    target: str, limits: AdmissionLimits, monotonic: Callable[[], float]
+) -> Admits:
+    if limits.patient:
+        return make_deadline_admission(
+            target=target, slots=limits.slots, queue=limits.queue, monotonic=monotonic
+        )
+    return make_admission(
+        target=target,
+        slots=limits.slots,
+        queue=limits.queue,
+        queue_wait_s=limits.queue_wait_s,
+        monotonic=monotonic,
+    )
+
+
+def apply_limits(owned: Owned, limits: AdmissionLimits) -> Owned:
+    """Apply limits of a changed pools table to a target.
+
+    Returns:
+        The target, with another admission if its way of waiting has changed; what
+        waited in the old one is refused as not run.
+    """
+    admission = owned.admission
+    if isinstance(admission, DeadlineAdmission) and limits.patient:
+        admission.resize(slots=limits.slots, queue=limits.queue)
+        return owned
+    if isinstance(admission, Admission) and not limits.patient:
+        resize(
+            admission,
+            slots=limits.slots,
+            queue=limits.queue,
+            queue_wait_s=limits.queue_wait_s,
+        )
+        return owned
+    fresh = _make_admission(
+        owned.announcement["target"], limits, owned.belief.monotonic
+    )
+    close(admission, admission.closed or Reason.TARGET_UNKNOWN)
+    fresh.closed = admission.closed
+    return owned._replace(admission=fresh)
+
+
 def drop_expired(targets: OwnedTargets) -> list[str]:
     """Forget targets whose lease has expired and refuse what waits for them."""
     now = targets.monotonic()
--- a/siskinlug/attempting.py
+++ b/siskinlug/attempting.py
@@ -185,6 +185,7 @@
         baseline_s=baseline_s(entry, request.route.name),
         fingerprint=request.fingerprint,
         least_sound=placement.least_sound,
+        due=request.started_at + request.objective_s,
     )
     # A target or an owner changes the headers that it is given.
     head = request.head._replace(headers=request.head.headers.copy())
--- a/siskinlug/node.py
+++ b/siskinlug/node.py
@@ -9,11 +9,11 @@
 from returns.result import Failure, Success
 
 from siskinlug.account_rates import make_account_rates
-from siskinlug.admission import resize
 from siskinlug.announcements import (
     LEASE_S,
     AdmissionLimits,
     OwnedTargets,
+    apply_limits,
 )
 from siskinlug.attempts import confirm, make_attempts
 from siskinlug.candidates import TargetView, note_load
@@ -394,15 +394,10 @@
 
 def _apply_tables(node: Node) -> None:
     """Resize the queues of owned targets after a change of the tables."""
-    for owned in node.targets.owned_by_target.values():
+    owned_by_target = node.targets.owned_by_target
+    for target, owned in list(owned_by_target.items()):
         limits = node.targets.limits_of(owned.announcement)
-        resize(
-            owned.admission,
-            slots=limits.slots,
-            queue=limits.queue,
-            queue_wait_s=limits.queue_wait_s,
-            patient=limits.patient,
-        )
+        owned_by_target[target] = apply_limits(owned, limits)
 
 
 def _make_watch(node: Node) -> Watch:
--- a/siskinlug/owner.py
+++ b/siskinlug/owner.py
@@ -1,6 +1,7 @@
 """Owner role: the only process that sends requests to the targets beside it."""
 
 import asyncio
+import math
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from functools import partial
@@ -88,6 +89,7 @@
         fingerprint: Fingerprint of the request for quarantine.
         least_sound: Probability that the target is sound below which the entry would
             rather try another target.
+        due: Time on the owner's clock until which an answer is of full use.
     """
 
     attempt: str
@@ -101,6 +103,7 @@
     baseline_s: float | None
     fingerprint: str
     least_sound: float = 0.0
+    due: float = math.inf
 
 
 class Owner:
@@ -218,6 +221,7 @@
             priority=request.priority,
             long_work=request.long_work,
             deadline=request.deadline,
+            due=request.due,
         )
         async with open_slot(owned.admission, ticket) as admitted:
             if isinstance(admitted, Failure):
--- a/siskinlug/peer_server.py
+++ b/siskinlug/peer_server.py
@@ -1,6 +1,7 @@
 """Port between nodes: attempts of other entries, announcements and control."""
 
 import hmac
+import math
 from collections.abc import Awaitable, Callable, Mapping
 
 import msgspec
@@ -150,6 +151,7 @@
             baseline_s=float(baseline) / 1000 if baseline else None,
             fingerprint=headers["Siskinlug-Fingerprint"],
             least_sound=float(headers.get("Siskinlug-Least-Sound", 0.0)),
+            due=now + float(headers.get("Siskinlug-Due-Ms", math.inf)) / 1000,
         )
     except KeyError as error:
         raise ValueError(f"header {error} is missing") from None
--- a/siskinlug/remote_attempts.py
+++ b/siskinlug/remote_attempts.py
@@ -1,6 +1,7 @@
 """Attempts at targets of other nodes: one more hop, and what became of lost ones."""
 
 import asyncio
+import math
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from functools import partial
@@ -152,6 +153,9 @@
     headers["Siskinlug-Deadline-Ms"] = str(max(0, left_ms))
     headers["Siskinlug-Fingerprint"] = attempt.fingerprint
     headers["Siskinlug-Least-Sound"] = f"{attempt.least_sound:.3f}"
+    if math.isfinite(attempt.due):
+        due_ms = (attempt.due - remote.monotonic()) * 1000
+        headers["Siskinlug-Due-Ms"] = f"{due_ms:.0f}"
     if attempt.baseline_s is not None:
         headers["Siskinlug-Baseline-Ms"] = f"{attempt.baseline_s * 1000:.2f}"
     else:
