--- a/siskinlug/attempting.py
+++ b/siskinlug/attempting.py
@@ -53,6 +53,9 @@
         The final refusal, or ``None`` when an answer was passed on.
     """
     budget = _budget(entry, request)
+    by_request = entry.retry_allowance().by_request
+    if by_request:
+        note_success(budget)
     failed: KeptCopy | None = None
     while True:
         placement = await entry.place(entry, request, attempted)
@@ -72,7 +75,7 @@
                         attempted.append(
                             Attempted(target, placement.candidate.node, None)
                         )
-                        if answer.status < 500:
+                        if answer.status < 500 and not by_request:
                             note_success(budget)
                         return None
                     # The caller has got nothing of this answer.
--- a/siskinlug/retries.py
+++ b/siskinlug/retries.py
@@ -48,12 +48,15 @@
     """What one entry may spend on retries of a pool.
 
     Attributes:
-        ratio: Retries for each success.
+        ratio: Retries for each success, or for each request.
         burst: Retries that may be spent at once after a pause.
+        by_request: Whether requests earn retries. Where successes do, a pool that
+            fails gets few retries when they would help most.
     """
 
     ratio: float = 0.1
     burst: float = 10.0
+    by_request: bool = False
 
 
 class RetryBudget:
