--- a/siskinlug/deadline_queue.py
+++ b/siskinlug/deadline_queue.py
@@ -207,11 +207,11 @@
                 "cannot finish before the deadline at this target",
                 retry_after_s=self._retry_after_s(wait_s),
             )
-        if len(self.waiting) < self.queue:
+        starts = not self.waiting and self._may_start(ticket)
+        if starts or len(self.waiting) < self.queue:
             return None
-        last = self.waiting[-1]
-        if last.order[:2] > order:
-            self.waiting.remove(last)
+        if self.waiting and self.waiting[-1].order[:2] > order:
+            last = self.waiting.pop()
             self._settle(last, Failure(self._full()))
             return None
         return self._full()
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,70 @@
+"""Placement of attempts, one load pattern a test."""
+
+import testtools
+from testtools.matchers import Equals, Is
+
+from siskinlug.choice import Candidate
+from siskinlug.placement import Need, Placed, TargetState, place
+
+ONCE = Need(may_trial=False, objective_s=2.5, megabytes=0.004)
+AGAIN = Need(may_trial=True, objective_s=2.5, megabytes=0.0004)
+DOWNLOAD = Need(may_trial=True, objective_s=2.5, megabytes=0.09)
+
+
+def _state(
+    target: str,
+    *,
+    sound: float = 0.95,
+    wants_trial: bool = True,
+    in_use: int = 1,
+    wait_s: float = 0.0,
+    distance: int = 2,
+) -> TargetState:
+    candidate = Candidate(target, f"node-of-{target}", distance, 1.0, 5)
+    return TargetState(candidate, sound, wants_trial, in_use, 5, wait_s)
+
+
+def _name(placed: Placed | None) -> str | None:
+    return None if placed is None else placed.state.candidate.target
+
+
+class PlacementTest(testtools.TestCase):
+    def test_fast_failing_target_beside_busy_ones(self) -> None:
+        """Guards against the pull of a failing target, which is always idle."""
+        states = [_state("failing", sound=0.1, in_use=0), _state("busy", in_use=4)]
+        self.assertThat(_name(place(states, ONCE)), Equals("busy"))
+
+    def test_work_that_may_not_be_repeated_goes_where_work_went_well_last(self) -> None:
+        """Guards against spreading bookings evenly over fresh and stale beliefs."""
+        states = [_state("stale", sound=0.85, in_use=0), _state("fresh", sound=0.98)]
+        self.assertThat(_name(place(states, ONCE)), Equals("fresh"))
+
+    def test_work_that_may_be_repeated_tries_a_target_after_its_spell(self) -> None:
+        """Guards against failing targets to which only bookings ever return."""
+        states = [_state("sound", sound=0.99), _state("after-spell", sound=0.5)]
+        self.assertThat(_name(place(states, AGAIN)), Equals("after-spell"))
+
+    def test_target_that_failed_just_now_is_left_alone(self) -> None:
+        """Guards against a retry budget spent on a spell that has just begun."""
+        states = [_state("sound", sound=0.99), _state("failing", sound=0.05)]
+        self.assertThat(_name(place(states, AGAIN)), Equals("sound"))
+
+    def test_target_on_trial_is_left_out(self) -> None:
+        """Guards against attempts that the owner refuses while a trial runs."""
+        states = [_state("on-trial", sound=0.5, wants_trial=False)]
+        self.assertThat(place(states, AGAIN), Is(None))
+
+    def test_large_answers_stay_in_their_failure_domain(self) -> None:
+        """Guards against downloads that cross domains for a little more certainty."""
+        states = [_state("far", sound=0.99), _state("near", sound=0.9, distance=1)]
+        self.assertThat(_name(place(states, DOWNLOAD)), Equals("near"))
+
+    def test_small_work_crosses_domains_for_a_sounder_target(self) -> None:
+        """Guards against bookings lost at home while others would serve them."""
+        states = [_state("far", sound=0.98), _state("near", sound=0.7, distance=1)]
+        self.assertThat(_name(place(states, ONCE)), Equals("far"))
+
+    def test_queue_at_the_soundest_target(self) -> None:
+        """Guards against a queue behind one target while others are nearly as sound."""
+        states = [_state("queue", sound=0.99, wait_s=1.0), _state("free", sound=0.9)]
+        self.assertThat(_name(place(states, ONCE)), Equals("free"))
