--- a/siskinlug/joining.py
+++ b/siskinlug/joining.py
@@ -22,7 +22,7 @@
     """Sync with a seed, or else with a node from the log, until one answers."""
     while not await _join_through(membership, membership.seeds):
         try:
-            members = list(await membership.read_members())
+            members = list(await membership.read_members() or ())
         except Exception as error:
             logging.warning("cannot read the members stream: %s", error)
             members = []
@@ -68,6 +68,17 @@
         await sync_with(membership, address_of(peer))
 
 
+async def meet_unknown(membership: Membership, addresses: Iterable[Address]) -> None:
+    """Ping addresses that no known live node has, and sync with those that answer."""
+    held = {address_of(live) for live in membership.directory.alive()}
+    for address in _without_own(membership, addresses):
+        if tuple(address) in held:
+            continue
+        answer = await ping_address(membership, address, None, fresh=True)
+        if answer is not None:
+            await sync_with(membership, address)
+
+
 async def reconnect(membership: Membership) -> None:
     """Try a dead, lost or unknown node now and then, to end a partition."""
     while True:
--- a/siskinlug/membership.py
+++ b/siskinlug/membership.py
@@ -24,8 +24,20 @@
     ping_peer,
     run_heartbeats,
 )
-from siskinlug.joining import join_fleet, reconnect, sync_after_join
-from siskinlug.membership_state import CallPeer, Membership, Payload, Sleep, draw_peers
+from siskinlug.joining import (
+    join_fleet,
+    meet_unknown,
+    reconnect,
+    sync_after_join,
+)
+from siskinlug.membership_state import (
+    CallPeer,
+    Membership,
+    Payload,
+    ReadMembers,
+    Sleep,
+    draw_peers,
+)
 from siskinlug.merging import FORGET_S, handle_push
 from siskinlug.messages import (
     Gossip,
@@ -67,6 +79,7 @@
     "handle_sync",
     "make_handlers",
     "make_membership",
+    "meet_unknown",
     "push_payload",
     "run_membership",
 ]
@@ -79,7 +92,7 @@
     handle: Callable[[Any], Awaitable[Any]]
 
 
-async def _no_members() -> Sequence[Address]:
+async def _no_members() -> Sequence[Address] | None:
     return ()
 
 
@@ -92,7 +105,7 @@
     random: Random,
     sleep: Sleep = asyncio.sleep,
     seeds: Sequence[Address] = (),
-    read_members: Callable[[], Awaitable[Sequence[Address]]] = _no_members,
+    read_members: ReadMembers = _no_members,
     payloads: Iterable[Payload] = (),
     on_silent: Callable[[Address], object] = lambda address: None,
 ) -> Membership:
--- a/siskinlug/membership_state.py
+++ b/siskinlug/membership_state.py
@@ -75,6 +75,10 @@
         self.waiting = False
 
 
+# Reads the addresses of nodes; ``None`` if they cannot be read now.
+ReadMembers = Callable[[], Awaitable[Sequence[Address] | None]]
+
+
 class LostNode(NamedTuple):
     """Address of a node declared dead, and since when, monotonic seconds."""
 
@@ -95,7 +99,7 @@
         random: Random,
         sleep: Sleep,
         seeds: Sequence[Address],
-        read_members: Callable[[], Awaitable[Sequence[Address]]],
+        read_members: ReadMembers,
         payloads: Iterable[Payload],
         on_silent: Callable[[Address], object],
     ) -> None:
--- a/siskinlug/node.py
+++ b/siskinlug/node.py
@@ -45,6 +45,7 @@
     make_membership,
     push_payload,
 )
+from siskinlug.membership_state import ReadMembers
 from siskinlug.messages import (
     Announcement,
     AttemptQuery,
@@ -91,11 +92,11 @@
 
     Attributes:
         write: Keeps the address of a node; whether that succeeded.
-        read: Reads the addresses of all nodes.
+        read: Reads the addresses of all nodes; ``None`` if that fails.
     """
 
     write: Callable[[str, Address], Awaitable[bool]]
-    read: Callable[[], Awaitable[Sequence[Address]]]
+    read: ReadMembers
 
 
 class Wiring(NamedTuple):
@@ -357,14 +358,14 @@
         written = await log.append(MEMBERS_STREAM, entry)
         return isinstance(written, Success)
 
-    async def read() -> Sequence[Address]:
+    async def read() -> Sequence[Address] | None:
         end = await log.read(MEMBERS_STREAM, 0, limit=1)
         if isinstance(end, Failure):
-            return ()
+            return None
         start = max(end.unwrap().first, end.unwrap().next - MEMBERS_READ)
         page = await log.read(MEMBERS_STREAM, start, limit=MEMBERS_READ)
         if isinstance(page, Failure):
-            return ()
+            return None
         newest_first = reversed(page.unwrap().records)
         found = [member_address(entry.record) for entry in newest_first]
         return list(dict.fromkeys(address for address in found if address))
--- a/siskinlug/owner.py
+++ b/siskinlug/owner.py
@@ -145,6 +145,7 @@
     request: AttemptRequest
     owned: Owned
     slot: Slot
+    request_id: str
 
 
 def note_incarnation(owner: Owner, target: str, incarnation: int | None) -> None:
@@ -235,7 +236,15 @@
             # From here on the request may run, also if this task is cancelled.
             ended = Verdict.MAY_HAVE_RUN
             async with _run_beside(
-                _Run(owner, request, owned, slot), head, body
+                _Run(
+                    owner,
+                    request,
+                    owned,
+                    slot,
+                    head.headers.get(owner.dialect.request_id, ""),
+                ),
+                head,
+                body,
             ) as result:
                 if isinstance(result, Success):
                     ended = Verdict.RAN
@@ -444,15 +453,16 @@
     belief = run.owned.belief
     before = probability_sound(belief)
     after = see(belief, sign)
-    if (after < QUEUE_LEAVES_BELOW) != (before < QUEUE_LEAVES_BELOW):
-        log_event(
-            "target_doubted" if after < before else "target_trusted",
-            target=run.request.target,
-            sign=sign.name.lower(),
-            request_id=run.request.attempt,
-            sound_before=round(before, 3),
-            sound=round(after, 3),
-        )
+    log_event(
+        "sign",
+        target=run.request.target,
+        sign=sign.name.lower(),
+        request_id=run.request_id,
+        attempt=run.request.attempt,
+        route=run.request.route,
+        sound_before=round(before, 3),
+        sound=round(after, 3),
+    )
     if after < QUEUE_LEAVES_BELOW:
         run.owned.admission.refuse_queued(Reason.TARGET_DOUBTED)
 
--- a/siskinlug/placing.py
+++ b/siskinlug/placing.py
@@ -14,6 +14,7 @@
     baseline_s,
 )
 from siskinlug.load_poll import Asked, LoadPolls, TargetReport, poll_targets
+from siskinlug.logs import log_event
 from siskinlug.placement import Need, Placed, TargetState, place
 
 # Targets that are asked for one attempt. More would cost datagrams and find little:
@@ -31,6 +32,9 @@
 # How much worse than an entry was told a target may have become when a request
 # arrives there.
 SOUND_SLACK = 0.2
+# Size of a request and its answer on a route that has not been used yet: enough to
+# prefer near targets, since the answer may be large.
+UNKNOWN_BYTES = 30_000.0
 _MEGABYTE = 1e6
 
 
@@ -104,7 +108,8 @@
         may_trial=request.route.idempotent
         and sum(tried.sent for tried in attempted) < request.route.retries,
         objective_s=request.objective_s,
-        megabytes=entry.bytes_by_route.get(request.route.name, 0.0) / _MEGABYTE,
+        megabytes=entry.bytes_by_route.get(request.route.name, UNKNOWN_BYTES)
+        / _MEGABYTE,
     )
     candidate_by_target = {c.target: c for c in _draw(entry, found)}
     own_node = entry.view.directory.own_node
@@ -120,7 +125,23 @@
         if report.target in candidate_by_target
     ]
     entry.random.shuffle(states)
-    return place(states, need)
+    placed = place(states, need)
+    if placed is not None:
+        log_event(
+            "placed",
+            request_id=request.request_id,
+            target=placed.state.candidate.target,
+            node=placed.state.candidate.node,
+            sound=placed.state.sound,
+            wait_s=placed.state.wait_s,
+            in_use=placed.state.in_use,
+            cost=round(placed.cost, 4),
+            may_trial=need.may_trial,
+            asked=len(candidate_by_target),
+            answered=len(states),
+            best_sound=max(state.sound for state in states),
+        )
+    return placed
 
 
 def _candidates(entry: Entry, request: Request, but: set[str]) -> list[Candidate]:
--- a/siskinlug/serving.py
+++ b/siskinlug/serving.py
@@ -11,6 +11,7 @@
 )
 from contextlib import AsyncExitStack, asynccontextmanager
 from functools import partial
+from itertools import chain, repeat
 from typing import Any, NamedTuple, TypeVar
 
 import msgspec
@@ -50,6 +51,7 @@
     announce_leaving,
     depart,
     make_handlers,
+    meet_unknown,
     push_payload,
     run_membership,
 )
@@ -91,6 +93,8 @@
 LEAVE_QUIET_S = 0.5
 # 430 nodes write 1.4 records/s; the log must keep records for longer than this.
 MEMBER_WRITE_S = 300.0
+# Pauses before nodes are looked for again after the start.
+MEMBER_READ_S = (1.5, 6.0)
 # A node whose address could not be kept is not found by nodes that start meanwhile.
 MEMBER_RETRY_S = 2.0
 
@@ -191,6 +195,19 @@
         await asyncio.sleep(pause_s * node.random.uniform(0.8, 1.2))
 
 
+async def _find_members(node: Node) -> None:
+    """Look for nodes that this one does not know, soon after the start and then rarely.
+
+    Nodes that start together find only those that were quicker, and while addresses
+    cannot be read a node finds none at all.
+    """
+    for pause_s in chain(MEMBER_READ_S, repeat(MEMBER_WRITE_S)):
+        await asyncio.sleep(pause_s * node.random.uniform(0.8, 1.2))
+        while (addresses := await node.members.read()) is None:
+            await asyncio.sleep(MEMBER_RETRY_S * node.random.uniform(0.5, 1.0))
+        await meet_unknown(node.membership, addresses)
+
+
 def _message_handler(
     message_type: type[MessageT], handle: Callable[[MessageT], Awaitable[Any]]
 ) -> Handler:
@@ -333,6 +350,7 @@
         "members": lambda: _write_member(node),
         "configuration": lambda: _follow_configuration(node),
         "membership": lambda: run_membership(node.membership),
+        "find members": lambda: _find_members(node),
         "targets": lambda: run_watch(node.watch),
     }
     async with AsyncExitStack() as stack:
@@ -375,6 +393,7 @@
     for owned in node.targets.owned_by_target.values():
         close(owned.admission, Reason.NODE_LEAVING)
     deadline = node.monotonic() + timeout_s
+    await asyncio.sleep(min(node.settings.limits.linger_s, timeout_s))
     cut = 0
     for name in ("caller_port", "peer_port"):
         left_s = max(0.0, deadline - node.monotonic())
--- a/siskinlug/settings.py
+++ b/siskinlug/settings.py
@@ -83,6 +83,13 @@
             "s",
             "Time for requests in flight to finish after SIGTERM.",
         ),
+        "linger_s": KeySpec(
+            number(0, 3600),
+            0.0,
+            "s",
+            "Part of that time in which callers may still connect, until they have "
+            "learned that the node is not ready.",
+        ),
     },
     "logging": {
         "level": KeySpec(
@@ -102,6 +109,7 @@
     caller_idle_s: float
     caller_body_s: float
     stop_s: float
+    linger_s: float
 
 
 class Settings(NamedTuple):
