Hedge requests that may be repeated and run unusually long

Trials of doubted targets were also made without credit for the second attempt that they need, and an owner that answered 'cannot finish in time' was asked up to twelve times.

Change: after three times the usual time a second attempt is placed where a slot is free, out of the retry budget; the first good answer wins. Until a route's time is known, a quarter of its objective stands for it. Work is worth a start while half of its usual time is left.

--- a/siskinlug/attempting.py
+++ b/siskinlug/attempting.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
+from functools import partial
 
 from returns.result import Failure, Result
 
@@ -12,15 +13,19 @@
     Request,
     baseline_s,
     new_id,
+    usual_s,
 )
 from siskinlug.exchange import Answer
+from siskinlug.hedging import open_hedged
 from siskinlug.inbound import Inbound
+from siskinlug.logs import log_event
 from siskinlug.owner import AttemptRequest, open_attempt
 from siskinlug.passing import KeptCopy, hold_failure, pass_on, send_copy
 from siskinlug.remote_attempts import open_remote_attempt
 from siskinlug.retries import (
     FREE_REASONS,
     RetryBudget,
+    hedge_after_s,
     make_retry_budget,
     may_retry,
     note_success,
@@ -64,8 +69,14 @@
                 await send_copy(inbound, failed)
                 return None
             return _no_candidate(attempted)
-        target = placement.candidate.target
-        async with _open(entry, inbound, request, placement) as result:
+        async with open_hedged(
+            placement,
+            open_attempt=partial(_open, entry, inbound, request),
+            after_s=_hedge_after_s(entry, inbound, request, attempted),
+            place_hedge=partial(_place_hedge, entry, request, attempted, budget),
+            attempted=attempted,
+        ) as (placement, result):
+            target = placement.candidate.target
             if isinstance(result, Failure):
                 refusal = result.failure()
             else:
@@ -100,6 +111,49 @@
         entry.metrics.retries.add(1, {"pool": request.pool.name})
 
 
+def _hedge_after_s(
+    entry: Entry, inbound: Inbound, request: Request, attempted: Sequence[Attempted]
+) -> float | None:
+    """Return after how long the next attempt gets a second one beside it."""
+    ratio = entry.retry_allowance().hedge_ratio
+    sent = 1 + sum(tried.sent for tried in attempted)
+    body = inbound.body
+    if not ratio or sent > request.route.retries or not body.whole:
+        return None
+    return hedge_after_s(
+        request.route,
+        long_work=request.long_work,
+        usual_s=usual_s(entry, request),
+        ratio=ratio,
+    )
+
+
+async def _place_hedge(
+    entry: Entry,
+    request: Request,
+    attempted: Sequence[Attempted],
+    budget: RetryBudget,
+    first: Placement,
+) -> Placement | None:
+    """Place an attempt beside a running one, where a slot is free for it."""
+    running = Attempted(
+        first.candidate.target, first.candidate.node, may_have_run(Reason.CANCELLED)
+    )
+    if budget.credit < 1.0:
+        return None
+    placement = await entry.place(entry, request, [*attempted, running])
+    if placement is None or placement.wait_s > 0 or not budget.try_spend():
+        return None
+    entry.metrics.retries.add(1, {"pool": request.pool.name})
+    log_event(
+        "hedged",
+        request_id=request.request_id,
+        running=first.candidate.target,
+        target=placement.candidate.target,
+    )
+    return placement
+
+
 def _budget(entry: Entry, request: Request) -> RetryBudget:
     budget = entry.budget_by_pool.get(request.pool.name)
     if budget is None:
@@ -188,6 +242,7 @@
         baseline_s=baseline_s(entry, request.route.name),
         fingerprint=request.fingerprint,
         least_sound=placement.least_sound,
+        usual_s=usual_s(entry, request),
         due=request.started_at + request.objective_s,
     )
     # A target or an owner changes the headers that it is given.
--- a/siskinlug/deadline_queue.py
+++ b/siskinlug/deadline_queue.py
@@ -19,6 +19,8 @@
 from siskinlug.verdict import Reason, Refusal, not_run
 
 MAX_ROUTES = 64
+# Share of its usual time that work must still have to be worth a start.
+LEAST_TIME = 0.5
 # Weight of a new answer in a route's usual service time.
 _WEIGHT = 0.15
 # A route is long work if it takes this many times the mean, and at least this long.
@@ -94,7 +96,7 @@
         loop = asyncio.get_running_loop()
         waiting = _Waiting(ticket, now, loop.create_future())
         insort(self.waiting, waiting)
-        left_s = ticket.deadline - self._usual_s(ticket) - now
+        left_s = ticket.deadline - LEAST_TIME * self._usual_s(ticket) - now
         waiting.timer = loop.call_later(max(left_s, 0.0), self._expire, waiting)
         self.dispatch()
         try:
@@ -201,7 +203,8 @@
         order = (ticket.priority, ticket.due)
         ahead = sum(waiting.order[:2] <= order for waiting in self.waiting)
         wait_s = self._wait_s(ahead)
-        if self.monotonic() + wait_s + self._usual_s(ticket) > ticket.deadline:
+        least_s = LEAST_TIME * self._usual_s(ticket)
+        if self.monotonic() + wait_s + least_s > ticket.deadline:
             return not_run(
                 Reason.DEADLINE,
                 "cannot finish before the deadline at this target",
--- a/siskinlug/entry_state.py
+++ b/siskinlug/entry_state.py
@@ -22,6 +22,8 @@
 
 RECENT_SERVICE_TIMES = 64
 MIN_BASELINE_SAMPLES = 8
+# Part of an objective that the work itself usually takes: a quarter on both sheets.
+OBJECTIVE_SHARE = 0.25
 # Weight of a new request in the usual size of a route's messages.
 _SIZE_WEIGHT = 0.1
 
@@ -79,10 +81,12 @@
         candidate: The target.
         least_sound: Probability that the target is sound below which its owner shall
             refuse the attempt.
+        wait_s: Expected wait for a slot there, in seconds.
     """
 
     candidate: Candidate
     least_sound: float = 0.0
+    wait_s: float = 0.0
 
 
 # Chooses the target of the next attempt; ``None`` if there is none.
@@ -148,6 +152,16 @@
     return median(recent) if len(recent) >= MIN_BASELINE_SAMPLES else None
 
 
+def usual_s(entry: Entry, request: Request) -> float:
+    """Return the usual service time of a request's route, or a guess, in seconds.
+
+    Until enough answers are known the guess is a share of the objective, which
+    operators set to several times the work.
+    """
+    known = baseline_s(entry, request.route.name)
+    return OBJECTIVE_SHARE * request.objective_s if known is None else known
+
+
 def note_service_time(entry: Entry, route: str, service_s: float) -> None:
     """Keep the service time of one answer."""
     recent = entry.recent_by_route.setdefault(route, deque(maxlen=RECENT_SERVICE_TIMES))
--- a/siskinlug/owner.py
+++ b/siskinlug/owner.py
@@ -90,6 +90,7 @@
         least_sound: Probability that the target is sound below which the entry would
             rather try another target.
         due: Time on the owner's clock until which an answer is of full use.
+        usual_s: Usual service time of the route in seconds, as far as the entry knows.
     """
 
     attempt: str
@@ -104,6 +105,7 @@
     fingerprint: str
     least_sound: float = 0.0
     due: float = math.inf
+    usual_s: float | None = None
 
 
 class Owner:
@@ -407,7 +409,7 @@
     """Exchange with the target and shift the belief in it by what it showed."""
     owner, request = run.owner, run.request
     started_at = owner.monotonic()
-    with watch_work(run.owned.belief, partial(_see, run), request.baseline_s) as watch:
+    with watch_work(run.owned.belief, partial(_see, run), request.usual_s) as watch:
         async with _exchange(run, connection, head, body) as result:
             watch.waiting = False
             if isinstance(result, Failure):
--- a/siskinlug/peer_server.py
+++ b/siskinlug/peer_server.py
@@ -139,6 +139,7 @@
     """
     try:
         baseline = headers.get("Siskinlug-Baseline-Ms")
+        usual = headers.get("Siskinlug-Usual-Ms")
         return AttemptRequest(
             attempt=headers["Siskinlug-Attempt"],
             target=headers["Siskinlug-Target"],
@@ -151,6 +152,7 @@
             baseline_s=float(baseline) / 1000 if baseline else None,
             fingerprint=headers["Siskinlug-Fingerprint"],
             least_sound=float(headers.get("Siskinlug-Least-Sound", 0.0)),
+            usual_s=float(usual) / 1000 if usual else None,
             due=now + float(headers.get("Siskinlug-Due-Ms", math.inf)) / 1000,
         )
     except KeyError as error:
--- a/siskinlug/placing.py
+++ b/siskinlug/placing.py
@@ -5,13 +5,14 @@
 
 from siskinlug.candidates import TargetView, candidates
 from siskinlug.choice import Candidate, Choice
+from siskinlug.deadline_queue import LEAST_TIME
 from siskinlug.entry_state import (
     Attempted,
     Entry,
     PlaceAttempt,
     Placement,
     Request,
-    baseline_s,
+    usual_s,
 )
 from siskinlug.load_poll import Asked, LoadPolls, TargetReport, poll_targets
 from siskinlug.logs import log_event
@@ -70,10 +71,9 @@
     async def place_attempt(
         entry: Entry, request: Request, attempted: Sequence[Attempted]
     ) -> Placement | None:
-        usual_s = baseline_s(entry, request.route.name) or 0.0
         patience_s = WAIT_SHARE * request.objective_s
         give_up_at = request.started_at + patience_s
-        last_at = request.deadline - usual_s
+        last_at = request.deadline - LEAST_TIME * usual_s(entry, request)
         while True:
             found = _candidates(entry, request, {t.target for t in attempted if t.sent})
             if not found:
@@ -82,7 +82,8 @@
             now = entry.monotonic()
             if placed is not None and _will_do(placed, request, now >= give_up_at):
                 sound = placed.state.sound
-                return Placement(placed.state.candidate, max(sound - SOUND_SLACK, 0.0))
+                least = max(sound - SOUND_SLACK, 0.0)
+                return Placement(placed.state.candidate, least, placed.state.wait_s)
             if now + ASK_PAUSE_S > last_at:
                 return None
             await asyncio.sleep(ASK_PAUSE_S * entry.random.uniform(0.7, 1.3))
@@ -104,9 +105,13 @@
     attempted: Sequence[Attempted],
 ) -> Placed | None:
     """Ask the owners of some candidates and choose the best."""
+    budget = entry.budget_by_pool.get(request.pool.name)
     need = Need(
+        # A trial that fails needs a second attempt.
         may_trial=request.route.idempotent
-        and sum(tried.sent for tried in attempted) < request.route.retries,
+        and sum(tried.sent for tried in attempted) < request.route.retries
+        and budget is not None
+        and budget.credit >= 1.0,
         objective_s=request.objective_s,
         megabytes=entry.bytes_by_route.get(request.route.name, UNKNOWN_BYTES)
         / _MEGABYTE,
--- a/siskinlug/remote_attempts.py
+++ b/siskinlug/remote_attempts.py
@@ -153,6 +153,8 @@
     headers["Siskinlug-Deadline-Ms"] = str(max(0, left_ms))
     headers["Siskinlug-Fingerprint"] = attempt.fingerprint
     headers["Siskinlug-Least-Sound"] = f"{attempt.least_sound:.3f}"
+    if attempt.usual_s is not None:
+        headers["Siskinlug-Usual-Ms"] = f"{attempt.usual_s * 1000:.1f}"
     if math.isfinite(attempt.due):
         due_ms = (attempt.due - remote.monotonic()) * 1000
         headers["Siskinlug-Due-Ms"] = f"{due_ms:.0f}"
--- a/siskinlug/retries.py
+++ b/siskinlug/retries.py
@@ -50,6 +50,8 @@
     Attributes:
         ratio: Retries for each success, or for each request.
         burst: Retries that may be spent at once after a pause.
+        hedge_ratio: Multiple of the usual time after which an attempt that may be
+            repeated gets a second one beside it; 0 for none.
         by_request: Whether requests earn retries. Where successes do, a pool that
             fails gets few retries when they would help most.
     """
@@ -57,6 +59,7 @@
     ratio: float = 0.1
     burst: float = 10.0
     by_request: bool = False
+    hedge_ratio: float = 0.0
 
 
 class RetryBudget:
@@ -159,6 +162,9 @@
     if now + expected_s > deadline:
         return False
     if sent is not None and refusal.verdict is Verdict.NOT_RUN:
+        if refusal.reason is Reason.DEADLINE:
+            # The owner was chosen for its short wait; another one has no more time.
+            return False
         # Only a target that refused by itself has got the request.
         reached = refusal.reason is Reason.TARGET_SHED
         return attempt <= REFUSED_ATTEMPTS and (not reached or budget.try_spend())
@@ -168,20 +174,23 @@
     return attempt <= route.retries and budget.try_spend()
 
 
-def hedge_after_s(route: Route, *, long_work: bool, usual_s: float) -> float | None:
+def hedge_after_s(
+    route: Route, *, long_work: bool, usual_s: float, ratio: float = HEDGE_RATIO
+) -> float | None:
     """Return how long a first attempt runs before it is hedged.
 
     Args:
         route: The route of the request.
         long_work: Whether the request counts as long work.
         usual_s: Median service time of the route in seconds, 0 if unknown.
+        ratio: Multiple of the usual time.
 
     Returns:
         Seconds, or ``None`` if the request is never hedged.
     """
     if not route.idempotent or long_work or route.retries < 1 or usual_s <= 0:
         return None
-    return usual_s * HEDGE_RATIO
+    return usual_s * ratio
 
 
 def may_hedge(
