--- a/siskinlug/belief.py
+++ b/siskinlug/belief.py
@@ -40,6 +40,7 @@
     FAST_ERROR = (0.85, 0.02)
     LATE_ERROR = (0.4, 0.1)
     LOST = (0.6, 0.03)
+    SHED = (0.5, 0.15)
     STALLED = (0.4, 0.06)
     UNREACHABLE = (0.9, 0.005)
 
--- a/siskinlug/owner.py
+++ b/siskinlug/owner.py
@@ -488,6 +488,8 @@
         answer.status == 503 or dialect.expected_target
     ):
         run.slot.finish(status=503, service_s=0.0, shed=True)
+        if run.owner.believes:
+            _see(run, Sign.SHED)
         return not_run(Reason.TARGET_SHED, run.request.target)
     return None
 
--- a/siskinlug/placement.py
+++ b/siskinlug/placement.py
@@ -17,6 +17,8 @@
 TRIAL_GAIN = 0.5
 # Cost of a wait as long as the objective, which leaves no time for the work itself.
 WAIT_COST = 1.0
+# Cost of a target that refused this very request before.
+REFUSAL_COST = 0.3
 # Decides between targets that are alike: the one with more free slots.
 USE_COST = 0.02
 
@@ -31,6 +33,7 @@
         in_use: Slots taken.
         slots: Slots of the target.
         wait_s: Expected wait of a new request, in seconds.
+        refusals: Times that this request was refused there.
     """
 
     candidate: Candidate
@@ -39,6 +42,7 @@
     in_use: int
     slots: int
     wait_s: float
+    refusals: int = 0
 
 
 class Need(NamedTuple):
@@ -72,6 +76,7 @@
     """Return the expected loss at a target, as a share of the request's worth."""
     cost = WAIT_COST * state.wait_s / max(need.objective_s, 0.01)
     cost += USE_COST * state.in_use / max(state.slots, 1)
+    cost += REFUSAL_COST * state.refusals
     if state.candidate.distance > 1:
         cost += CROSS_DOMAIN_COST_PER_MB * need.megabytes
     failing = 1.0 - state.sound
--- a/siskinlug/placing.py
+++ b/siskinlug/placing.py
@@ -1,6 +1,7 @@
 """Two ways to place an attempt: by load reports, or by asking owners."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Sequence
 
 from siskinlug.candidates import TargetView, candidates
@@ -124,8 +125,9 @@
     own = targets_by_node.pop(own_node, [])
     reports = [r for r in map(polls.report, own) if r is not None]
     reports += await poll_targets(polls, _owners(entry.view, targets_by_node))
+    refusals = Counter(tried.target for tried in attempted if not tried.sent)
     states = [
-        _state(candidate_by_target[report.target], report)
+        _state(candidate_by_target[report.target], report, refusals)
         for report in reports
         if report.target in candidate_by_target
     ]
@@ -181,7 +183,9 @@
     return asked
 
 
-def _state(candidate: Candidate, report: TargetReport) -> TargetState:
+def _state(
+    candidate: Candidate, report: TargetReport, refusals: Counter[str]
+) -> TargetState:
     return TargetState(
         candidate=candidate,
         sound=report.sound,
@@ -189,4 +193,5 @@
         in_use=report.in_use,
         slots=report.slots,
         wait_s=report.wait_s,
+        refusals=refusals[candidate.target],
     )
