--- a/siskinlug/announcements.py
+++ b/siskinlug/announcements.py
@@ -198,8 +198,8 @@
     fresh = _make_admission(
         owned.announcement["target"], limits, owned.belief.monotonic
     )
-    close(admission, admission.closed or Reason.TARGET_UNKNOWN)
     fresh.closed = admission.closed
+    close(admission, admission.closed or Reason.TARGET_UNKNOWN)
     return owned._replace(admission=fresh)
 
 
--- a/tests/test_announcement_order.py
+++ b/tests/test_announcement_order.py
@@ -2,15 +2,18 @@
 
 import testtools
 from returns.result import Failure, Success
-from testtools.matchers import Equals, IsInstance
+from testtools.matchers import Equals, Is, IsInstance
 
 from siskinlug.announcements import (
     AdmissionLimits,
     OwnedTargets,
     accept_announcement,
+    apply_limits,
     withdraw,
 )
+from siskinlug.deadline_queue import DeadlineAdmission
 from siskinlug.messages import Announcement
+from siskinlug.verdict import Reason
 
 
 def _message(**changed: object) -> Announcement:
@@ -73,3 +76,22 @@
         self.assertThat(self._take(target="t-2", incarnation=200), IsInstance(Success))
         self.assertThat(list(self.targets.owned_by_target), Equals(["t-2"]))
         self.assertThat(self._take(sequence=99), IsInstance(Failure))
+
+    def test_target_that_came_before_the_configuration_takes_work(self) -> None:
+        """Guards against a target that stays closed after a restart of its node.
+
+        Its first announcement may come before the tables that say how it is queued.
+        """
+        self._take()
+        limits = AdmissionLimits(4, 8, 2.0, patient=True)
+        owned = apply_limits(self.targets.owned_by_target["t-1"], limits)
+        self.assertThat(owned.admission, IsInstance(DeadlineAdmission))
+        self.assertThat(owned.admission.closed, Is(None))
+
+    def test_leaving_target_stays_closed_under_another_way_of_waiting(self) -> None:
+        """Guards against new work for a leaving target after a change of tables."""
+        self._take()
+        withdraw(self.targets, "t-1")
+        limits = AdmissionLimits(4, 8, 2.0, patient=True)
+        owned = apply_limits(self.targets.owned_by_target["t-1"], limits)
+        self.assertThat(owned.admission.closed, Equals(Reason.TARGET_LEAVING))
