Expect waits by the work that waits, place again what waits for too long

Bookings also counted as long work beside their calls and left a slot unused.

Change: a wait is the usual time of what waits and runs; until it is known the entry's guess counts; a request that waits for 0.3 s and half as long again as it was told goes back to its entry; long work is what would keep all slots for a noticeable time.

--- a/siskinlug/admission.py
+++ b/siskinlug/admission.py
@@ -58,6 +58,9 @@
         long_work: Whether the request counts as long work.
         deadline: Deadline on the monotonic clock.
         due: Time until which an answer is of full use, on the same clock.
+        usual_s: Usual service time as far as the entry knows, in seconds.
+        wait_limit_s: Longest wait after which the entry would rather choose again, in
+            seconds.
     """
 
     attempt: str
@@ -67,6 +70,8 @@
     long_work: bool
     deadline: float
     due: float = math.inf
+    usual_s: float = 0.0
+    wait_limit_s: float = math.inf
 
 
 class _RouteTimes:
--- a/siskinlug/attempting.py
+++ b/siskinlug/attempting.py
@@ -243,6 +243,7 @@
         fingerprint=request.fingerprint,
         least_sound=placement.least_sound,
         usual_s=usual_s(entry, request),
+        wait_limit_s=placement.wait_limit_s,
         due=request.started_at + request.objective_s,
     )
     # A target or an owner changes the headers that it is given.
--- a/siskinlug/deadline_queue.py
+++ b/siskinlug/deadline_queue.py
@@ -9,7 +9,7 @@
 import asyncio
 from bisect import insort
 from collections import Counter, OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from random import Random
 
 from returns.result import Failure, Result, Success
@@ -23,9 +23,10 @@
 LEAST_TIME = 0.5
 # Weight of a new answer in a route's usual service time.
 _WEIGHT = 0.15
-# A route is long work if it takes this many times the mean, and at least this long.
+# A route is long work if it takes this many times the mean, and so long that with all
+# slots in use by it others would wait for a noticeable time, in seconds for each slot.
 _LONG_RATIO = 2.5
-_LONG_LEAST_S = 0.5
+_LONG_S_PER_SLOT = 0.25
 
 
 class _Waiting:
@@ -83,6 +84,9 @@
         self.waiting: list[_Waiting] = []
         self._usual_by_route: OrderedDict[str, float] = OrderedDict()
         self._mean_s = 0.0
+        # Usual time of what runs, by slot and in all, in seconds.
+        self._started_s: dict[Slot, float] = {}
+        self._running_s = 0.0
 
     async def enter(self, ticket: Ticket) -> Result[Slot, Refusal]:
         """Wait for a slot; use ``open_slot``, which also gives it back."""
@@ -97,7 +101,8 @@
         waiting = _Waiting(ticket, now, loop.create_future())
         insort(self.waiting, waiting)
         left_s = ticket.deadline - LEAST_TIME * self._usual_s(ticket) - now
-        waiting.timer = loop.call_later(max(left_s, 0.0), self._expire, waiting)
+        longest_s = max(min(left_s, ticket.wait_limit_s), 0.0)
+        waiting.timer = loop.call_later(longest_s, self._expire, waiting)
         self.dispatch()
         try:
             return await waiting.future
@@ -125,6 +130,7 @@
     def release(self, slot: Slot) -> None:
         """Free a slot and start what waits for it."""
         self.in_use -= 1
+        self._running_s = max(self._running_s - self._started_s.pop(slot, 0.0), 0.0)
         self.dispatch()
 
     def dispatch(self) -> None:
@@ -154,20 +160,23 @@
             self.slots,
             self.in_use,
             len(self.waiting),
-            self._wait_s(len(self.waiting)) * 1000,
+            self._wait_s(self.waiting) * 1000,
             self._mean_s * 1000,
             max(self.slots - self.in_use, 0),
-            self._wait_s(len(self.waiting)) * 1000,
+            self._wait_s(self.waiting) * 1000,
         )
 
-    def _wait_s(self, ahead: int) -> float:
+    def _wait_s(self, ahead: Sequence[_Waiting]) -> float:
         """Return the expected wait behind some queued tickets, in seconds."""
         if self.in_use < self.slots and not ahead:
             return 0.0
-        return (ahead + 1) * self._mean_s / max(self.slots, 1)
+        work_s = sum(self._usual_s(waiting.ticket) for waiting in ahead)
+        # A slot of those in use is free after a share of the mean of what runs.
+        work_s += self._running_s / max(self.in_use, 1)
+        return work_s / max(self.slots, 1)
 
     def _usual_s(self, ticket: Ticket) -> float:
-        return self._usual_by_route.get(ticket.route, 0.0)
+        return self._usual_by_route.get(ticket.route, ticket.usual_s)
 
     def _may_start(self, ticket: Ticket) -> bool:
         """Whether a slot is free; long work leaves the last one to others."""
@@ -175,7 +184,8 @@
         if free <= 0 or self.slots == 1:
             return free > 0
         usual_s = self._usual_s(ticket)
-        long_work = usual_s > max(_LONG_RATIO * self._mean_s, _LONG_LEAST_S)
+        least_s = _LONG_S_PER_SLOT * self.slots
+        long_work = usual_s > max(_LONG_RATIO * self._mean_s, least_s)
         return free > 1 if long_work else True
 
     def _next(self) -> _Waiting | None:
@@ -195,13 +205,16 @@
     def _start(self, ticket: Ticket, now: float) -> Slot:
         self.in_use += 1
         self.count["admitted"] += 1
-        return Slot(self, ticket, now)
+        slot = Slot(self, ticket, now)
+        self._started_s[slot] = self._usual_s(ticket)
+        self._running_s += self._started_s[slot]
+        return slot
 
     def _refuse_on_arrival(self, ticket: Ticket) -> Refusal | None:
         if self.closed is not None:
             return not_run(self.closed)
         order = (ticket.priority, ticket.due)
-        ahead = sum(waiting.order[:2] <= order for waiting in self.waiting)
+        ahead = [waiting for waiting in self.waiting if waiting.order[:2] <= order]
         wait_s = self._wait_s(ahead)
         least_s = LEAST_TIME * self._usual_s(ticket)
         if self.monotonic() + wait_s + least_s > ticket.deadline:
@@ -223,7 +236,7 @@
         return not_run(
             Reason.QUEUE_FULL,
             f"{len(self.waiting)} requests wait at this target",
-            retry_after_s=self._retry_after_s(self._wait_s(len(self.waiting))),
+            retry_after_s=self._retry_after_s(self._wait_s(self.waiting)),
         )
 
     def _retry_after_s(self, wait_s: float) -> float:
--- a/siskinlug/entry_state.py
+++ b/siskinlug/entry_state.py
@@ -1,5 +1,6 @@
 """State of the entry role, and what it holds of one request."""
 
+import math
 from collections import deque
 from collections.abc import Awaitable, Callable, Sequence
 from random import Random
@@ -82,11 +83,13 @@
         least_sound: Probability that the target is sound below which its owner shall
             refuse the attempt.
         wait_s: Expected wait for a slot there, in seconds.
+        wait_limit_s: Longest wait there before the request is placed again, in seconds.
     """
 
     candidate: Candidate
     least_sound: float = 0.0
     wait_s: float = 0.0
+    wait_limit_s: float = math.inf
 
 
 # Chooses the target of the next attempt; ``None`` if there is none.
--- a/siskinlug/owner.py
+++ b/siskinlug/owner.py
@@ -91,6 +91,8 @@
             rather try another target.
         due: Time on the owner's clock until which an answer is of full use.
         usual_s: Usual service time of the route in seconds, as far as the entry knows.
+        wait_limit_s: Longest wait for a slot after which the entry would rather choose
+            again, in seconds.
     """
 
     attempt: str
@@ -106,6 +108,7 @@
     least_sound: float = 0.0
     due: float = math.inf
     usual_s: float | None = None
+    wait_limit_s: float = math.inf
 
 
 class Owner:
@@ -225,6 +228,8 @@
             long_work=request.long_work,
             deadline=request.deadline,
             due=request.due,
+            usual_s=request.usual_s or 0.0,
+            wait_limit_s=request.wait_limit_s,
         )
         async with open_slot(owned.admission, ticket) as admitted:
             if isinstance(admitted, Failure):
--- a/siskinlug/placing.py
+++ b/siskinlug/placing.py
@@ -37,6 +37,12 @@
 # Size of a request and its answer on a route that has not been used yet: enough to
 # prefer near targets, since the answer may be large.
 UNKNOWN_BYTES = 30_000.0
+# Retries that must be left for a trial, so that the last ones go to failures.
+TRIAL_CREDIT = 1.5
+# A request that waits for much longer than its entry was told is placed again, so that
+# a queue which formed before other targets were known, or free, does not keep it.
+WAIT_LIMIT_S = 0.3
+WAIT_LIMIT_RATIO = 1.5
 _MEGABYTE = 1e6
 
 
@@ -84,7 +90,13 @@
             if placed is not None and _will_do(placed, request, now >= give_up_at):
                 sound = placed.state.sound
                 least = max(sound - SOUND_SLACK, 0.0)
-                return Placement(placed.state.candidate, least, placed.state.wait_s)
+                wait_s = placed.state.wait_s
+                return Placement(
+                    candidate=placed.state.candidate,
+                    least_sound=least,
+                    wait_s=wait_s,
+                    wait_limit_s=WAIT_LIMIT_S + WAIT_LIMIT_RATIO * wait_s,
+                )
             if now + ASK_PAUSE_S > last_at:
                 return None
             await asyncio.sleep(ASK_PAUSE_S * entry.random.uniform(0.7, 1.3))
@@ -112,7 +124,7 @@
         may_trial=request.route.idempotent
         and sum(tried.sent for tried in attempted) < request.route.retries
         and budget is not None
-        and budget.credit >= 1.0,
+        and budget.credit >= TRIAL_CREDIT,
         objective_s=request.objective_s,
         megabytes=entry.bytes_by_route.get(request.route.name, UNKNOWN_BYTES)
         / _MEGABYTE,
--- a/siskinlug/remote_attempts.py
+++ b/siskinlug/remote_attempts.py
@@ -155,6 +155,8 @@
     headers["Siskinlug-Least-Sound"] = f"{attempt.least_sound:.3f}"
     if attempt.usual_s is not None:
         headers["Siskinlug-Usual-Ms"] = f"{attempt.usual_s * 1000:.1f}"
+    if math.isfinite(attempt.wait_limit_s):
+        headers["Siskinlug-Wait-Limit-Ms"] = f"{attempt.wait_limit_s * 1000:.0f}"
     if math.isfinite(attempt.due):
         due_ms = (attempt.due - remote.monotonic()) * 1000
         headers["Siskinlug-Due-Ms"] = f"{due_ms:.0f}"
--- a/siskinlug/retries.py
+++ b/siskinlug/retries.py
@@ -23,7 +23,7 @@
 )
 FREE_ATTEMPTS = 3
 # Owners that refuse before a target hears of a request cost a round trip each.
-REFUSED_ATTEMPTS = 12
+REFUSED_ATTEMPTS = 30
 # Refusals that any other target would repeat.
 FINAL_REASONS = frozenset(
     {
