Close idle connections of a stopping node while long requests run on

Idle connections were closed only after a while without any request, which long work put off to the end; and callers were told to leave only when the node had stopped listening.

--- a/siskinlug/inbound.py
+++ b/siskinlug/inbound.py
@@ -1,6 +1,7 @@
 """Server side of HTTP: one task for each request, bodies streamed both ways."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Awaitable, Callable, Mapping
 from contextlib import suppress
 from typing import NamedTuple
@@ -29,6 +30,8 @@
 # room above the limit at which the caller is told.
 _HEAD_SLACK = 2
 _MAX_BODY_BYTES = 1 << 50
+# Pause between looks at the connections of a server that is stopping.
+DRAIN_TICK_S = 0.05
 
 
 class InboundLimits(NamedTuple):
@@ -75,6 +78,8 @@
         self.on_limit = on_limit
         self.tasks: set[asyncio.Task[None]] = set()
         self.connections: set[HTTP1ServerConnection] = set()
+        # Connections with a request that is being served.
+        self.busy: Counter[HTTP1ServerConnection] = Counter()
         self.leaving = False
         self.http: HTTPServer | None = None
         self.port = 0
@@ -82,9 +87,14 @@
 
 class _RequestDelegate(HTTPMessageDelegate):
     def __init__(
-        self, server: InboundServer, connection: HTTPConnection, remote_ip: str
+        self,
+        server: InboundServer,
+        kept: HTTP1ServerConnection,
+        connection: HTTPConnection,
+        remote_ip: str,
     ) -> None:
         self._server = server
+        self._kept = kept
         self._connection = connection
         self._remote_ip = remote_ip
         self._body = BodyStream(
@@ -103,7 +113,14 @@
         )
         self._task = asyncio.create_task(_serve_checked(self._server, inbound))
         self._server.tasks.add(self._task)
-        self._task.add_done_callback(self._server.tasks.discard)
+        self._server.busy[self._kept] += 1
+        self._task.add_done_callback(self._ended)
+
+    def _ended(self, task: "asyncio.Task[None]") -> None:
+        self._server.tasks.discard(task)
+        self._server.busy[self._kept] -= 1
+        if self._server.busy[self._kept] <= 0:
+            del self._server.busy[self._kept]
 
     def data_received(self, chunk: bytes) -> asyncio.Future[None] | None:
         return self._body.feed(chunk)
@@ -146,7 +163,7 @@
             server_conn.stream.close()
         address = getattr(server_conn.context, "address", None)
         remote_ip = address[0] if isinstance(address, tuple) else ""
-        return _RequestDelegate(self._server, request_conn, remote_ip)
+        return _RequestDelegate(self._server, server_conn, request_conn, remote_ip)
 
 
 def _head_problem(limits: InboundLimits, head: RequestHead) -> Refusal | None:
@@ -344,17 +361,26 @@
     return server
 
 
+def _close_idle(server: InboundServer) -> None:
+    """Close the connections on which no request is being served."""
+    for connection in list(server.connections):
+        if connection not in server.busy and not connection.stream.writing():
+            connection.stream.close()
+            server.connections.discard(connection)
+
+
 async def drain_server(
     server: InboundServer, *, quiet_s: float, timeout_s: float
 ) -> int:
     """Stop listening, finish all requests in flight and close idle connections.
 
     Answers carry ``Connection: close`` from now on, and requests that still arrive on
-    kept connections are served, until none has been in flight for a while.
+    kept connections are served for a while. Then a connection is closed as soon as it
+    is idle, however long the requests on others take.
 
     Args:
         server: The server.
-        quiet_s: Time without a request after which idle connections are closed.
+        quiet_s: Time from which idle connections are closed, in seconds.
         timeout_s: Time for requests in flight, in seconds.
 
     Returns:
@@ -365,14 +391,19 @@
     server.http.stop()
     loop = asyncio.get_running_loop()
     deadline = loop.time() + timeout_s
-    quiet_since = loop.time()
-    while loop.time() < deadline and loop.time() - quiet_since < quiet_s:
-        if server.tasks:
-            await asyncio.wait(
-                list(server.tasks), timeout=max(0.0, deadline - loop.time())
-            )
-            quiet_since = loop.time()
-        await asyncio.sleep(min(quiet_s / 5, max(0.0, deadline - loop.time())))
+    quiet_at = min(loop.time() + quiet_s, deadline)
+    await asyncio.sleep(quiet_at - loop.time())
+    while loop.time() < deadline:
+        _close_idle(server)
+        if not server.tasks:
+            break
+        await asyncio.wait(
+            list(server.tasks),
+            timeout=max(0.0, deadline - loop.time()),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        # The answer's last bytes are on their way, and a request may have come in.
+        await asyncio.sleep(min(DRAIN_TICK_S, max(0.0, deadline - loop.time())))
     cut = [task for task in server.tasks if not task.done()]
     for task in cut:
         task.cancel()
--- a/siskinlug/serving.py
+++ b/siskinlug/serving.py
@@ -393,6 +393,8 @@
     for owned in node.targets.owned_by_target.values():
         close(owned.admission, Reason.NODE_LEAVING)
     deadline = node.monotonic() + timeout_s
+    # Callers that keep connections open learn at once that they must leave them.
+    node.server_by_port["caller_port"].leaving = True
     await asyncio.sleep(min(node.settings.limits.linger_s, timeout_s))
     cut = 0
     for name in ("caller_port", "peer_port"):
--- a/tests/test_inbound_close.py
+++ b/tests/test_inbound_close.py
@@ -4,8 +4,15 @@
 
 import testtools
 from testtools.matchers import Equals
+from tornado.httputil import HTTPHeaders
 
-from siskinlug.inbound import Inbound, InboundLimits, open_server
+from siskinlug.inbound import (
+    Inbound,
+    InboundLimits,
+    drain_server,
+    open_server,
+    send_answer,
+)
 
 LIMITS = InboundLimits(8192, 100_000, 65536, 30.0, 30.0, 10)
 # Far longer than a close takes on loopback; a test that passes never waits for it.
@@ -51,3 +58,36 @@
             b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nab",
         ):
             self.assertThat(self._cancelled(request), Equals(True))
+
+
+class DrainTest(testtools.TestCase):
+    def test_idle_connection_is_closed_while_another_request_runs_on(self) -> None:
+        """Guards against a request taken late on a kept connection and then cut."""
+
+        async def main() -> tuple[bytes, int]:
+            release = asyncio.Event()
+
+            async def serve(inbound: Inbound) -> None:
+                if inbound.head.path == "/long":
+                    await release.wait()
+                await send_answer(inbound, 200, HTTPHeaders(), b"ok")
+
+            server = open_server(serve, host="127.0.0.1", port=0, limits=LIMITS)
+            address = ("127.0.0.1", server.port)
+            _, long = await asyncio.open_connection(*address)
+            long.write(b"GET /long HTTP/1.1\r\nHost: x\r\n\r\n")
+            kept_reader, kept = await asyncio.open_connection(*address)
+            kept.write(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+            async with asyncio.timeout(BOUND_S):
+                await kept_reader.readuntil(b"ok")
+                while not server.tasks:
+                    await asyncio.sleep(0.01)
+                draining = asyncio.create_task(
+                    drain_server(server, quiet_s=0.05, timeout_s=BOUND_S)
+                )
+                rest = await kept_reader.read()
+                assert not draining.done()
+                release.set()
+                return rest, await draining
+
+        self.assertThat(asyncio.run(main()), Equals((b"", 0)))
