Report a request's own wait, and weigh a failed first attempt with the second one

Change: a poll carries priority and due time, the owner reports the wait behind what goes first; a wait costs little while the answer is in time and never more than a failure; the cost of a failed trial includes the second attempt.

--- a/siskinlug/admission.py
+++ b/siskinlug/admission.py
@@ -188,6 +188,9 @@
     def report(self) -> LoadReport:
         """Return the load report."""
 
+    def wait_of_s(self, priority: int, due: float) -> float:
+        """Return the expected wait of a request that came now, in seconds."""
+
 
 class Slot:
     """A slot of the target, held while one attempt runs."""
@@ -589,6 +592,10 @@
         # together.
         return max(wait_s, 0.1) * self.random.uniform(0.5, 1.5)
 
+    def wait_of_s(self, _priority: int, _due: float) -> float:
+        """Return the expected wait behind all that waits, in seconds."""
+        return self._wait_s(False, len(self._queue_by_class[False].waiting))
+
     def report(self) -> LoadReport:
         """Return the load report for answers."""
         # Entries choose for all accounts, so the whole queue counts as ahead.
--- a/siskinlug/deadline_queue.py
+++ b/siskinlug/deadline_queue.py
@@ -166,6 +166,11 @@
             self._wait_s(self.waiting) * 1000,
         )
 
+    def wait_of_s(self, priority: int, due: float) -> float:
+        """Return the expected wait of a request that came now, in seconds."""
+        order = (priority, due)
+        return self._wait_s([w for w in self.waiting if w.order[:2] <= order])
+
     def _wait_s(self, ahead: Sequence[_Waiting]) -> float:
         """Return the expected wait behind some queued tickets, in seconds."""
         if self.in_use < self.slots and not ahead:
@@ -214,8 +219,7 @@
         if self.closed is not None:
             return not_run(self.closed)
         order = (ticket.priority, ticket.due)
-        ahead = [waiting for waiting in self.waiting if waiting.order[:2] <= order]
-        wait_s = self._wait_s(ahead)
+        wait_s = self.wait_of_s(*order)
         least_s = LEAST_TIME * self._usual_s(ticket)
         if self.monotonic() + wait_s + least_s > ticket.deadline:
             return not_run(
--- a/siskinlug/load_poll.py
+++ b/siskinlug/load_poll.py
@@ -33,7 +33,7 @@
         wants_trial: Whether it may be tried.
         in_use: Slots taken.
         slots: Slots in all.
-        wait_s: Expected wait of a new request, in seconds.
+        wait_s: Expected wait of the request that was asked for, in seconds.
     """
 
     target: str
@@ -44,10 +44,23 @@
     wait_s: float
 
 
+class Turn(msgspec.Struct, array_like=True, frozen=True):
+    """Place of a request in a queue, so that its own wait is reported.
+
+    Attributes:
+        priority: 0 is served first.
+        due_s: Time until which its answer is of full use, in seconds from now.
+    """
+
+    priority: int
+    due_s: float
+
+
 class _Question(msgspec.Struct, array_like=True, frozen=True, tag="ask"):
     number: int
     key: str
     targets: list[str]
+    turn: Turn
 
 
 class _Answer(msgspec.Struct, array_like=True, frozen=True, tag="tell"):
@@ -72,8 +85,9 @@
         self.reports: list[TargetReport] = []
 
 
-# From a target id to its report; ``None`` if it takes no requests here.
-Report = Callable[[str], TargetReport | None]
+# From a target id and the turn of a request to a report; ``None`` if the target takes
+# no requests here.
+Report = Callable[[str, Turn], TargetReport | None]
 
 
 class LoadPolls(asyncio.DatagramProtocol):
@@ -103,8 +117,9 @@
         if isinstance(message, _Answer):
             self._take(message)
             return
-        reports = [r for r in map(self.report, message.targets) if r is not None]
-        answer = _Answer(message.number, self.key, reports)
+        reports = [self.report(target, message.turn) for target in message.targets]
+        known = [report for report in reports if report is not None]
+        answer = _Answer(message.number, self.key, known)
         if self.transport is not None:
             self.transport.sendto(msgspec.json.encode(answer), addr)
 
@@ -158,13 +173,18 @@
 
 
 async def poll_targets(
-    polls: LoadPolls, asked: Sequence[Asked], *, wait_s: float = POLL_WAIT_S
+    polls: LoadPolls,
+    asked: Sequence[Asked],
+    turn: Turn,
+    *,
+    wait_s: float = POLL_WAIT_S,
 ) -> list[TargetReport]:
     """Ask owners for the state of their targets.
 
     Args:
         polls: This node's polls.
         asked: The owners.
+        turn: Place of the request in a queue.
         wait_s: Longest wait for answers, in seconds.
 
     Returns:
@@ -179,7 +199,7 @@
     polls.round_by_number[number] = waiting
     try:
         for owner in asked:
-            question = _Question(number, polls.key, owner.targets)
+            question = _Question(number, polls.key, owner.targets, turn)
             polls.transport.sendto(msgspec.json.encode(question), owner.address)
         await asyncio.wait({waiting.done}, timeout=wait_s)
     finally:
--- a/siskinlug/owner.py
+++ b/siskinlug/owner.py
@@ -41,7 +41,7 @@
     has_length,
 )
 from siskinlug.load import LoadReport
-from siskinlug.load_poll import TargetReport
+from siskinlug.load_poll import TargetReport, Turn
 from siskinlug.logs import log_event
 from siskinlug.probes import Silence, watch_silence
 from siskinlug.quarantine import (
@@ -173,20 +173,22 @@
     return load_report(owned.admission) if owned else None
 
 
-def report_target(owner: Owner, target: str) -> TargetReport | None:
+def report_target(owner: Owner, target: str, turn: Turn) -> TargetReport | None:
     """Report on a target of this node, if it takes requests."""
     owned = owner.targets.with_lease(target)
     if owned is None or owner.leaving or owned.announcement["state"] == "leaving":
         return None
     standing_now = standing_of(owned.belief)
     load = load_report(owned.admission)
+    due = owner.monotonic() + turn.due_s
+    wait_s = owned.admission.wait_of_s(turn.priority, due)
     return TargetReport(
         target,
         round(standing_now.sound, 4),
         standing_now.wants_trial,
         load.in_use,
         load.slots,
-        round(load.wait_ms / 1000, 4),
+        round(wait_s, 4),
     )
 
 
--- a/siskinlug/placement.py
+++ b/siskinlug/placement.py
@@ -1,6 +1,5 @@
 """Placement: which of the targets that were asked gets a request."""
 
-import math
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -15,8 +14,11 @@
 REPEAT_COST = 0.12
 # What is learned by a trial, for each unit of the belief's variance.
 TRIAL_GAIN = 0.5
-# Cost of a wait as long as the objective, which leaves no time for the work itself.
-WAIT_COST = 1.0
+# Cost of a wait as long as the objective or longer, while the answer is still in time.
+WAIT_COST = 0.15
+# Cost of an answer after its objective: late ones are worth 0.3 on the users' sheets.
+# A wait thus never makes a target that fails look better than one that is sound.
+LATE_COST = 0.6
 # Cost of a target that refused this very request before.
 REFUSAL_COST = 0.3
 # Decides between targets that are alike: the one with more free slots.
@@ -52,11 +54,15 @@
         may_trial: Whether it may try a doubted target: it may be repeated, and this is
             neither its first nor its only attempt.
         objective_s: Time within which its answer is of full use, in seconds.
+        left_s: What is left of that time.
+        usual_s: Usual time of the work, in seconds.
         megabytes: Expected size of request and answer, in megabytes.
     """
 
     may_trial: bool
     objective_s: float
+    left_s: float
+    usual_s: float
     megabytes: float
 
 
@@ -72,19 +78,16 @@
     cost: float
 
 
-def expected_cost(state: TargetState, need: Need) -> float:
-    """Return the expected loss at a target, as a share of the request's worth."""
-    cost = WAIT_COST * state.wait_s / max(need.objective_s, 0.01)
+def cost_of_reaching(state: TargetState, need: Need) -> float:
+    """Return the expected loss by wait, load and distance at a target."""
+    cost = WAIT_COST * min(state.wait_s / max(need.objective_s, 0.01), 1.0)
+    late_s = state.wait_s + need.usual_s - need.left_s
+    if state.wait_s > 0 and late_s > 0:
+        cost += LATE_COST * min(late_s / max(need.usual_s, 0.01), 1.0)
     cost += USE_COST * state.in_use / max(state.slots, 1)
     cost += REFUSAL_COST * state.refusals
     if state.candidate.distance > 1:
         cost += CROSS_DOMAIN_COST_PER_MB * need.megabytes
-    failing = 1.0 - state.sound
-    if not need.may_trial:
-        return cost + failing
-    cost += REPEAT_COST * failing
-    if state.wants_trial:
-        cost -= TRIAL_GAIN * state.sound * failing
     return cost
 
 
@@ -96,15 +99,28 @@
         need: The request.
 
     Returns:
-        The target, or ``None`` if none answered.
+        The target, or ``None`` if none answered that takes the request now.
     """
-    best: Placed | None = None
-    least = math.inf
-    for state in states:
-        if state.sound < TRIAL_BELOW and not state.wants_trial:
-            # Its owner would refuse: a trial is running there.
-            continue
-        cost = expected_cost(state, need)
-        if cost < least:
-            best, least = Placed(state, cost), cost
-    return best
+    # While a trial runs at a doubted target its owner refuses all others.
+    open_states = [s for s in states if s.sound >= TRIAL_BELOW or s.wants_trial]
+    if not open_states:
+        return None
+    once = [
+        Placed(state, cost_of_reaching(state, need) + 1.0 - state.sound)
+        for state in open_states
+    ]
+    surest = min(once, key=lambda placed: placed.cost)
+    if not need.may_trial:
+        return surest
+    trials = [_with_second_attempt(placed, need, surest.cost) for placed in once]
+    return min(trials, key=lambda placed: placed.cost)
+
+
+def _with_second_attempt(placed: Placed, need: Need, second_cost: float) -> Placed:
+    """Return a placement whose failure is followed by the surest attempt of all."""
+    state = placed.state
+    failing = 1.0 - state.sound
+    cost = cost_of_reaching(state, need) + failing * (REPEAT_COST + second_cost)
+    if state.wants_trial:
+        cost -= TRIAL_GAIN * state.sound * failing
+    return Placed(state, cost)
--- a/siskinlug/placing.py
+++ b/siskinlug/placing.py
@@ -15,7 +15,13 @@
     Request,
     usual_s,
 )
-from siskinlug.load_poll import Asked, LoadPolls, TargetReport, poll_targets
+from siskinlug.load_poll import (
+    Asked,
+    LoadPolls,
+    TargetReport,
+    Turn,
+    poll_targets,
+)
 from siskinlug.logs import log_event
 from siskinlug.placement import Need, Placed, TargetState, place
 
@@ -126,6 +132,8 @@
         and budget is not None
         and budget.credit >= TRIAL_CREDIT,
         objective_s=request.objective_s,
+        left_s=request.started_at + request.objective_s - entry.monotonic(),
+        usual_s=usual_s(entry, request),
         megabytes=entry.bytes_by_route.get(request.route.name, UNKNOWN_BYTES)
         / _MEGABYTE,
     )
@@ -135,8 +143,10 @@
     for candidate in candidate_by_target.values():
         targets_by_node.setdefault(candidate.node, []).append(candidate.target)
     own = targets_by_node.pop(own_node, [])
-    reports = [r for r in map(polls.report, own) if r is not None]
-    reports += await poll_targets(polls, _owners(entry.view, targets_by_node))
+    turn = Turn(request.route.priority, need.left_s)
+    answers = [polls.report(target, turn) for target in own]
+    reports = [report for report in answers if report is not None]
+    reports += await poll_targets(polls, _owners(entry.view, targets_by_node), turn)
     refusals = Counter(tried.target for tried in attempted if not tried.sent)
     states = [
         _state(candidate_by_target[report.target], report, refusals)
