--- a/siskinlug/entry.py
+++ b/siskinlug/entry.py
@@ -139,7 +139,7 @@
         Request(
             request_id=request_id,
             route=route,
-            pool=tables.pools_by_name[_draw_pool(entry, tables, route)],
+            pool=tables.pools_by_name[draw_pool(entry, tables, route)],
             account=account,
             long_work=route.work == "long"
             or (route.work == "learned" and is_long(entry.service_times, route.name)),
@@ -174,7 +174,7 @@
     )
 
 
-def _draw_pool(entry: Entry, tables: Tables, route: Route) -> str:
+def draw_pool(entry: Entry, tables: Tables, route: Route) -> str:
     """Return the pool of a request; a split draws it by weight.
 
     A pool without room keeps its share: what it cannot take is refused, and no other
--- /dev/null
+++ b/tests/test_dialect.py
@@ -0,0 +1,69 @@
+"""Dialects: statuses that callers read as a promise, and shares of a split."""
+
+from random import Random
+from typing import cast
+
+import testtools
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools.matchers import Equals, LessThan
+
+from siskinlug.dialect import OWN_DIALECT, Dialect, status_of
+from siskinlug.entry import draw_pool
+from siskinlug.entry_state import Entry
+from siskinlug.tables import Pool, Route, Tables
+from siskinlug.verdict import Reason, Refusal, Verdict
+
+STRICT = Dialect(not_run_is_503=True)
+PROMISES = {408, 421, 429, 503}
+
+
+class StatusTest(testtools.TestCase):
+    @given(st.sampled_from(Reason), st.sampled_from(Verdict))
+    def test_promise_of_not_run_is_made_only_when_it_is_true(
+        self, reason: Reason, verdict: Verdict
+    ) -> None:
+        """Guards against a caller that repeats a booking which may have run."""
+        status = status_of(STRICT, Refusal(verdict, reason))
+        if verdict is not Verdict.NOT_RUN:
+            self.assertThat(status in PROMISES, Equals(False))
+
+    @given(st.sampled_from(Reason))
+    def test_request_that_was_not_run_is_told_so(self, reason: Reason) -> None:
+        """Guards against an error that promises nothing for work that never began."""
+        status = status_of(STRICT, Refusal(Verdict.NOT_RUN, reason))
+        known = PROMISES | {400, 404, 413, 431}
+        self.assertThat(status in known, Equals(True))
+
+    @given(st.sampled_from(Reason), st.sampled_from(Verdict))
+    def test_own_dialect_keeps_the_status_of_the_reason(
+        self, reason: Reason, verdict: Verdict
+    ) -> None:
+        """Guards against changed statuses for callers of the product's own."""
+        refusal = Refusal(verdict, reason)
+        self.assertThat(status_of(OWN_DIALECT, refusal), Equals(refusal.status))
+
+
+class _EntryWithRandom:
+    def __init__(self) -> None:
+        self.random = Random(1)
+
+
+class SplitTest(testtools.TestCase):
+    def test_each_pool_gets_the_share_of_its_weight(self) -> None:
+        """Guards against a pool that gets more than the operator gave it."""
+        pools = {name: Pool(name, name) for name in ("a", "b")}
+        route = Route("r", "*", "/", (), "a", split={"a": 90.0, "b": 10.0})
+        tables = Tables(1, 1, {"r": route}, pools)
+        entry = cast(Entry, _EntryWithRandom())
+        drawn = [draw_pool(entry, tables, route) for _ in range(3000)]
+        # Three standard deviations of a share of 0.1 over 3,000 draws.
+        self.assertThat(abs(drawn.count("b") / 3000 - 0.1), LessThan(0.017))
+
+    def test_route_without_weights_goes_to_its_pool(self) -> None:
+        """Guards against a draw from weights that are all zero."""
+        pools = {name: Pool(name, name) for name in ("a", "b")}
+        route = Route("r", "*", "/", (), "a", split={"b": 0.0})
+        tables = Tables(1, 1, {"r": route}, pools)
+        entry = cast(Entry, _EntryWithRandom())
+        self.assertThat(draw_pool(entry, tables, route), Equals("a"))
