Reload settings on SIGHUP or a change of the file; never block on the log

Cause: SIGHUP ended the process, and the platform sends it when settings change. The log was written with a blocking write to a pipe that need not be read.

Limits and the log level are applied to the running node; other changed settings are named in the log as needing a restart; settings that cannot be read leave the old ones.

--- a/siskinlug/daemon.py
+++ b/siskinlug/daemon.py
@@ -6,13 +6,15 @@
 import sys
 from collections.abc import Callable, Iterator, Sequence
 from contextlib import contextmanager
+from functools import partial
 from pathlib import Path
 
 from absl import logging
-from returns.result import Failure
+from returns.result import Failure, Result
 
 from siskinlug.logs import configure_logs, log_event
 from siskinlug.node import Node, Wiring, make_node
+from siskinlug.reloading import ReadSettings, watch_settings
 from siskinlug.serving import ExtraPort, PortError, leave, open_node
 from siskinlug.settings import Settings, load_settings
 
@@ -32,8 +34,10 @@
 
 
 @contextmanager
-def _signals(stop: asyncio.Event, stop_now: asyncio.Event) -> Iterator[None]:
-    """Set one event on the first SIGTERM or SIGINT and the other on the second."""
+def _signals(
+    stop: asyncio.Event, stop_now: asyncio.Event, reload: asyncio.Event
+) -> Iterator[None]:
+    """Set an event on the first SIGTERM or SIGINT, on the second one and on SIGHUP."""
     loop = asyncio.get_running_loop()
 
     def handle() -> None:
@@ -41,10 +45,11 @@
 
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, handle)
+    loop.add_signal_handler(signal.SIGHUP, reload.set)
     try:
         yield
     finally:
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             loop.remove_signal_handler(number)
 
 
@@ -63,6 +68,8 @@
 async def run_daemon(
     settings: Settings,
     *,
+    path: Path,
+    read: ReadSettings,
     wiring: Wiring | None = None,
     extra_ports: Callable[[Node], Sequence[ExtraPort]] = lambda _node: (),
 ) -> int:
@@ -70,6 +77,8 @@
 
     Args:
         settings: Checked settings.
+        path: Their file.
+        read: Reads them again, after SIGHUP or a change of the file.
         wiring: What connects the node with what lies around it.
         extra_ports: From the node to ports beyond those of the settings.
 
@@ -79,12 +88,15 @@
     Raises:
         PortError: A port cannot be opened.
     """
-    stop, stop_now = asyncio.Event(), asyncio.Event()
+    stop, stop_now, told = asyncio.Event(), asyncio.Event(), asyncio.Event()
     node = make_node(settings, wiring=wiring)
-    with _signals(stop, stop_now):
+    with _signals(stop, stop_now, told):
         async with open_node(node, extra=extra_ports(node)):
+            watching = asyncio.create_task(watch_settings(node, path, read, told))
             await _wait_for_stop(node, stop)
-            leaving = asyncio.create_task(leave(node, timeout_s=settings.limits.stop_s))
+            watching.cancel()
+            stop_s = node.settings.limits.stop_s
+            leaving = asyncio.create_task(leave(node, timeout_s=stop_s))
             forced = asyncio.create_task(stop_now.wait())
             await asyncio.wait({leaving, forced}, return_when=asyncio.FIRST_COMPLETED)
             forced.cancel()
@@ -101,6 +113,10 @@
             return EXIT_CUT if leaving.result() else EXIT_OK
 
 
+def _read_settings(path: Path) -> Result[Settings, str]:
+    return load_settings(path).alt(lambda faults: "; ".join(map(str, faults)))
+
+
 def main(arguments: list[str] | None = None) -> int:
     """Run the daemon; returns its exit code."""
     options = _parse_arguments(arguments)
@@ -112,7 +128,8 @@
     settings = loaded.unwrap()
     configure_logs(node=settings.name, level=settings.level)
     try:
-        return asyncio.run(run_daemon(settings))
+        read = partial(_read_settings, options.config)
+        return asyncio.run(run_daemon(settings, path=options.config, read=read))
     except PortError as error:
         print(
             f"siskinlugd: {options.config}: [node] {error.key}: {error}",
--- a/siskinlug/logs.py
+++ b/siskinlug/logs.py
@@ -8,6 +8,8 @@
 import msgspec
 from absl import flags, logging
 
+from siskinlug.bounded_output import make_bounded_output
+
 _LEVELS = {
     "debug": logging.DEBUG,
     "info": logging.INFO,
@@ -51,11 +53,16 @@
     logging.use_absl_handler()
     handler = logging.get_absl_handler()
     handler.setFormatter(_JsonFormatter(node))
-    handler.python_handler.stream = sys.stdout
-    logging.set_verbosity(_LEVELS[level])
+    handler.python_handler.stream = make_bounded_output(sys.stdout.fileno())
+    set_level(level)
     std_logging.getLogger("tornado").setLevel(std_logging.ERROR)
 
 
+def set_level(level: str) -> None:
+    """Set the lowest level that is logged."""
+    logging.set_verbosity(_LEVELS[level])
+
+
 def log_event(
     event: str, *, write: Callable[..., None] = logging.info, **fields: object
 ) -> None:
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -8,10 +8,11 @@
 
 import pytest
 import testtools
-from testtools.matchers import Contains, Equals, HasLength
+from testtools.matchers import Contains, Equals, HasLength, Not
 
 from bench.fleet import (
     ADMIN_PORT,
+    CALLER_PORT,
     PEER_PORT,
     ROOT,
     NodeSpec,
@@ -81,6 +82,32 @@
         process.send(signal.SIGTERM)
         self.assertThat(process.wait(), Equals(0))
 
+    def test_sighup_applies_changed_limits_and_survives_broken_settings(self) -> None:
+        """Guards against a daemon that ends on SIGHUP or on a broken file."""
+        process = self.fleet.start_node(self.node, seeds=())
+        host = self.fleet.host(1)
+        wait_until(
+            lambda: call(host, ADMIN_PORT, "GET", "/nodes").status == 200,
+            "the daemon listens",
+        )
+        path = self.fleet.folder / f"{self.node.name}.ini"
+        whole = path.read_text()
+
+        def status_of_long_head() -> int:
+            headers = {"X-Pad": "a" * 3000}
+            return call(host, CALLER_PORT, "GET", "/", headers=headers).status
+
+        before = status_of_long_head()
+        path.write_text(whole + "[limits]\nheader_bytes = 2048\n")
+        process.send(signal.SIGHUP)
+        wait_until(lambda: status_of_long_head() == 431, "the limit is applied")
+        self.assertThat(before, Not(Equals(431)))
+        path.write_text("[node\n")
+        process.send(signal.SIGHUP)
+        path.write_text(whole)
+        process.send(signal.SIGHUP)
+        wait_until(lambda: status_of_long_head() == before, "the limit is gone")
+
     def test_message_without_token_is_refused(self) -> None:
         """Guards against strangers that announce a target."""
         self.fleet.start_node(self.node, seeds=())
