--- a/siskinlug/placing.py
+++ b/siskinlug/placing.py
@@ -160,7 +160,7 @@
             "placed",
             request_id=request.request_id,
             target=placed.state.candidate.target,
-            node=placed.state.candidate.node,
+            owner=placed.state.candidate.node,
             sound=placed.state.sound,
             wait_s=placed.state.wait_s,
             in_use=placed.state.in_use,
--- a/siskinlug/remote_attempts.py
+++ b/siskinlug/remote_attempts.py
@@ -26,6 +26,9 @@
 from siskinlug.verdict import Reason, Refusal, Verdict, may_have_run, not_run
 
 ANSWER_GRACE_S = 0.2
+# A round trip within a region takes 3 ms; a lost opening packet is sent again only
+# after a second or more, in which another target can take the request.
+PEER_CONNECT_TIMEOUT_S = 0.4
 # Time for the owner's own refusal at the deadline to arrive.
 REFUSAL_MARGIN_S = 0.005
 
@@ -93,7 +96,10 @@
     left_s = max(0.0, attempt.deadline - sent_at) + REFUSAL_MARGIN_S
     address = (node.host, node.peer_port)
     async with open_connection(
-        remote.connections, address, max_idle_s=idle_s
+        remote.connections,
+        address,
+        max_idle_s=idle_s,
+        timeout_s=PEER_CONNECT_TIMEOUT_S,
     ) as connected:
         if isinstance(connected, Failure):
             note_path_failure(remote.paths, node.node)
