--- a/bench/run_demo.py
+++ b/bench/run_demo.py
@@ -144,7 +144,7 @@
         host = fleet.host(1)
         console.print(f"callers: http://{host}:{CALLER_PORT}/")
         console.print(f"admin:   http://{host}:{ADMIN_PORT}/ (also /metrics)")
-        console.print("pages:   docs/design.md, docs/operations.md; logs in run/")
+        console.print("pages:   docs/design.md, docs/OPERATIONS.md; logs in run/")
     console.print("all processes stopped")
     return 0
 
--- a/siskinlug/reference.py
+++ b/siskinlug/reference.py
@@ -39,7 +39,7 @@
 
 RENDER_BY_PAGE: Mapping[str, Callable[[], str]] = {
     "configuration.md": render_reference,
-    "operations.md": render_codes,
+    "OPERATIONS.md": render_codes,
 }
 
 
