--- a/siskinlug/node.py
+++ b/siskinlug/node.py
@@ -30,7 +30,7 @@
     note_position,
 )
 from siskinlug.configuration import position_of
-from siskinlug.connections import Address, make_pool
+from siskinlug.connections import CONNECT_TIMEOUT_S, Address, make_pool
 from siskinlug.dialect import OWN_DIALECT, Dialect
 from siskinlug.directory import NodeRecord
 from siskinlug.ejection import answer_promises
@@ -115,6 +115,7 @@
             retries of a pool.
         hold_answer_bytes: Answers up to this size are held until they are whole, so
             that a cut or failed one can be tried elsewhere; 0 passes all on at once.
+        peer_connect_s: Time to connect to another node for an attempt, in seconds.
     """
 
     dialect: Dialect = OWN_DIALECT
@@ -125,6 +126,7 @@
     service: str = ""
     retry_allowance: Callable[[int], RetryAllowance] = lambda _nodes: RetryAllowance()
     hold_answer_bytes: int = 0
+    peer_connect_s: float = CONNECT_TIMEOUT_S
 
 
 class Node:
@@ -228,6 +230,7 @@
                 token=settings.token,
                 clock=self.timeline.clock,
                 monotonic=self.monotonic,
+                connect_s=wiring.peer_connect_s,
             ),
             tables=self.tables,
             place=place_by_asking(self.polls)
--- a/siskinlug/remote_attempts.py
+++ b/siskinlug/remote_attempts.py
@@ -13,6 +13,7 @@
 from siskinlug.body import BodyStream
 from siskinlug.clock import HybridClock, encode_timestamp, follow_header
 from siskinlug.connections import (
+    CONNECT_TIMEOUT_S,
     IDLE_MAX_S,
     NON_IDEMPOTENT_IDLE_MAX_S,
     ConnectionPool,
@@ -26,9 +27,6 @@
 from siskinlug.verdict import Reason, Refusal, Verdict, may_have_run, not_run
 
 ANSWER_GRACE_S = 0.2
-# A round trip within a region takes 3 ms; a lost opening packet is sent again only
-# after a second or more, in which another target can take the request.
-PEER_CONNECT_TIMEOUT_S = 0.4
 # Time for the owner's own refusal at the deadline to arrive.
 REFUSAL_MARGIN_S = 0.005
 
@@ -58,6 +56,7 @@
         token: Shared key.
         clock: Hybrid clock, carried both ways so that the timeline is causal.
         monotonic: Clock in seconds.
+        connect_s: Time to connect to an owner, in seconds.
     """
 
     connections: ConnectionPool
@@ -67,6 +66,7 @@
     token: str
     clock: HybridClock
     monotonic: Callable[[], float]
+    connect_s: float = CONNECT_TIMEOUT_S
 
 
 @asynccontextmanager
@@ -99,7 +99,7 @@
         remote.connections,
         address,
         max_idle_s=idle_s,
-        timeout_s=PEER_CONNECT_TIMEOUT_S,
+        timeout_s=remote.connect_s,
     ) as connected:
         if isinstance(connected, Failure):
             note_path_failure(remote.paths, node.node)
