Refuse what still waits for a target before the node has stopped

Now nothing is started that could not finish in time, and what waits is refused, not run, 0.4 s before the limit.

--- a/siskinlug/entry_state.py
+++ b/siskinlug/entry_state.py
@@ -140,6 +140,8 @@
         self.bytes_by_route: dict[str, float] = {}
         self.avoid_until_by_target: dict[str, float] = {}
         self.count = 0
+        # Time by which this node, once it stops, has answered all; monotonic seconds.
+        self.stop_at = math.inf
 
 
 def new_id(entry: Entry) -> str:
--- a/siskinlug/placing.py
+++ b/siskinlug/placing.py
@@ -1,6 +1,7 @@
 """Two ways to place an attempt: by load reports, or by asking owners."""
 
 import asyncio
+import math
 from collections import Counter
 from collections.abc import Sequence
 
@@ -88,6 +89,10 @@
         give_up_at = request.started_at + patience_s
         last_at = request.deadline - LEAST_TIME * usual_s(entry, request)
         while True:
+            # What could not finish before this node has stopped is refused in time.
+            last_at = min(last_at, entry.stop_at - usual_s(entry, request))
+            if entry.monotonic() > last_at and entry.stop_at < math.inf:
+                return None
             found = _candidates(entry, request, {t.target for t in attempted if t.sent})
             if not found:
                 return None
@@ -101,7 +106,10 @@
                     candidate=placed.state.candidate,
                     least_sound=least,
                     wait_s=wait_s,
-                    wait_limit_s=WAIT_LIMIT_S + WAIT_LIMIT_RATIO * wait_s,
+                    wait_limit_s=min(
+                        WAIT_LIMIT_S + WAIT_LIMIT_RATIO * wait_s,
+                        max(last_at - now, 0.0),
+                    ),
                 )
             if now + ASK_PAUSE_S > last_at:
                 return None
--- a/siskinlug/serving.py
+++ b/siskinlug/serving.py
@@ -93,6 +93,9 @@
 LEAVE_QUIET_S = 0.5
 # 430 nodes write 1.4 records/s; the log must keep records for longer than this.
 MEMBER_WRITE_S = 300.0
+# Time before the end of a stop by which what still waits for a target is refused, so
+# that the refusal arrives.
+STOP_REFUSE_S = 0.4
 # Pauses before nodes are looked for again after the start.
 MEMBER_READ_S = (1.5, 6.0)
 # A node whose address could not be kept is not found by nodes that start meanwhile.
@@ -393,6 +396,7 @@
     for owned in node.targets.owned_by_target.values():
         close(owned.admission, Reason.NODE_LEAVING)
     deadline = node.monotonic() + timeout_s
+    node.entry.stop_at = deadline - STOP_REFUSE_S
     # Callers that keep connections open learn at once that they must leave them.
     node.server_by_port["caller_port"].leaving = True
     await asyncio.sleep(min(node.settings.limits.linger_s, timeout_s))
--- /dev/null
+++ b/tests/test_stopping_entry.py
@@ -0,0 +1,63 @@
+"""What a stopping entry does with requests that still wait for a target."""
+
+import asyncio
+from collections import deque
+from random import Random
+from types import SimpleNamespace
+from typing import Any
+
+import testtools
+from testtools.matchers import Equals, Is, LessThan
+
+from bench.virtual_time import run_virtual
+from siskinlug import placing
+from siskinlug.choice import Candidate
+from siskinlug.entry_state import Placement
+from siskinlug.tables import Pool, Route
+
+ROUTE = Route("r", "*", "/", (), "p", timeout_s=20.0, objective_s=8.0)
+
+
+class StoppingEntryTest(testtools.TestCase):
+    def _place(self, *, stop_at: float) -> tuple[Placement | None, float]:
+        """Place a request for which no owner answers; return when it was given up."""
+        candidate = Candidate("t-1", "n-1", 2, 1.0, 4)
+        self.patch(placing, "candidates", lambda *_: [candidate])
+
+        async def main() -> tuple[Placement | None, float]:
+            clock = asyncio.get_running_loop().time
+            entry: Any = SimpleNamespace(
+                monotonic=clock,
+                random=Random(1),
+                stop_at=stop_at,
+                view=SimpleNamespace(
+                    directory=SimpleNamespace(own_node="n-0", record_by_node={})
+                ),
+                budget_by_pool={},
+                bytes_by_route={},
+                recent_by_route={"r": deque([1.0] * 8)},
+            )
+            request: Any = SimpleNamespace(
+                route=ROUTE,
+                pool=Pool("p", "p"),
+                started_at=0.0,
+                deadline=20.0,
+                objective_s=8.0,
+                request_id="id-1",
+            )
+            place = placing.place_by_asking(SimpleNamespace(transport=None))  # type: ignore[arg-type]
+            return await place(entry, request, []), clock()
+
+        return run_virtual(main())
+
+    def test_waiting_request_is_refused_before_the_node_has_stopped(self) -> None:
+        """Guards against a request that is read, waits, and is cut by the stop."""
+        placement, at = self._place(stop_at=5.0)
+        self.assertThat(placement, Is(None))
+        # Work of 1 s could not finish any more from 4 s on.
+        self.assertThat(at, LessThan(4.3))
+
+    def test_without_a_stop_it_waits_for_its_deadline(self) -> None:
+        """Guards against requests given up while there is time."""
+        _, at = self._place(stop_at=float("inf"))
+        self.assertThat(at > 19.0, Equals(True))
