Keep a stopping node from closing a connection whose next request has come

Ruled out: the time limit of the stop (1.6 s were left). Change: a connection with unread bytes is not idle, and a request on a connection that is closed is not passed on. Both tests fail on the code before.

--- a/siskinlug/inbound.py
+++ b/siskinlug/inbound.py
@@ -1,6 +1,7 @@
 """Server side of HTTP: one task for each request, bodies streamed both ways."""
 
 import asyncio
+import socket
 from collections import Counter
 from collections.abc import Awaitable, Callable, Mapping
 from contextlib import suppress
@@ -107,6 +108,10 @@
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> None:
         assert isinstance(start_line, RequestStartLine)
+        if self._kept.stream.closed():
+            # Its caller cannot get an answer any more, so it must not be passed on.
+            log_event("request_on_closed_connection", path=start_line.path)
+            return
         head = RequestHead(start_line.method, start_line.path, headers)
         inbound = Inbound(
             self._connection, head, self._body, self._remote_ip, self._server
@@ -361,10 +366,27 @@
     return server
 
 
-def _close_idle(server: InboundServer) -> None:
-    """Close the connections on which no request is being served."""
+def _has_unread(connection: HTTP1ServerConnection) -> bool:
+    """Whether bytes, or the end of the stream, wait to be read."""
+    try:
+        connection.stream.socket.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return False
+    except OSError as error:
+        log_event("peek_failed", write=logging.debug, problem=str(error))
+    return True
+
+
+def close_idle(server: InboundServer) -> None:
+    """Close the connections on which no request is being served or waits to be."""
     for connection in list(server.connections):
-        if connection not in server.busy and not connection.stream.writing():
+        if connection.stream.closed():
+            server.connections.discard(connection)
+        elif (
+            connection not in server.busy
+            and not connection.stream.writing()
+            and not _has_unread(connection)
+        ):
             connection.stream.close()
             server.connections.discard(connection)
 
@@ -394,7 +416,7 @@
     quiet_at = min(loop.time() + quiet_s, deadline)
     await asyncio.sleep(quiet_at - loop.time())
     while loop.time() < deadline:
-        _close_idle(server)
+        close_idle(server)
         if not server.tasks:
             break
         await asyncio.wait(
--- a/tests/test_inbound_close.py
+++ b/tests/test_inbound_close.py
@@ -1,6 +1,7 @@
 """What a server does when the caller closes its connection early."""
 
 import asyncio
+import socket
 
 import testtools
 from testtools.matchers import Equals
@@ -9,6 +10,7 @@
 from siskinlug.inbound import (
     Inbound,
     InboundLimits,
+    close_idle,
     drain_server,
     open_server,
     send_answer,
@@ -61,6 +63,65 @@
 
 
 class DrainTest(testtools.TestCase):
+    def _answered_after_close_idle(self, *, turns: int) -> tuple[bytes, list[str]]:
+        """Send a request on a kept connection just before idle ones are closed.
+
+        Args:
+            turns: Turns of the event loop that the server has after the request came.
+
+        Returns:
+            What the caller got, and the paths that were served.
+        """
+
+        async def main() -> tuple[bytes, list[str]]:
+            served = []
+
+            async def serve(inbound: Inbound) -> None:
+                served.append(inbound.head.path)
+                await send_answer(inbound, 200, HTTPHeaders(), b"ok")
+
+            server = open_server(serve, host="127.0.0.1", port=0, limits=LIMITS)
+            caller = socket.create_connection(("127.0.0.1", server.port))
+            caller.setblocking(False)
+            loop = asyncio.get_running_loop()
+            async with asyncio.timeout(BOUND_S):
+                await loop.sock_sendall(caller, b"GET /1 HTTP/1.1\r\nHost: x\r\n\r\n")
+                while b"ok" not in await loop.sock_recv(caller, 4096):
+                    pass
+                while server.busy:
+                    await asyncio.sleep(0)
+                caller.send(b"GET /2 HTTP/1.1\r\nHost: x\r\n\r\n")
+                for _ in range(turns):
+                    await asyncio.sleep(0)
+                close_idle(server)
+                try:
+                    rest = await loop.sock_recv(caller, 4096)
+                except ConnectionResetError:
+                    rest = b""
+            caller.close()
+            assert server.http is not None
+            server.http.stop()
+            return rest, served
+
+        return asyncio.run(main())
+
+    def test_request_that_has_arrived_keeps_its_connection(self) -> None:
+        """Guards against closing a connection whose next request is still unread."""
+        rest, served = self._answered_after_close_idle(turns=0)
+        self.assertThat(served, Equals(["/1", "/2"]))
+        self.assertThat(rest.startswith(b"HTTP/1.1 200"), Equals(True))
+
+    def test_request_on_a_closed_connection_is_not_passed_on(self) -> None:
+        """Guards against running a request whose caller can get no answer.
+
+        The codec may have read a request whose task has not begun when its connection
+        is closed as idle.
+        """
+        for turns in range(12):
+            rest, served = self._answered_after_close_idle(turns=turns)
+            answered = rest.startswith(b"HTTP/1.1 200")
+            self.assertThat(answered, Equals("/2" in served), f"{turns} turns")
+
     def test_idle_connection_is_closed_while_another_request_runs_on(self) -> None:
         """Guards against a request taken late on a kept connection and then cut."""
 
