--- a/siskinlug/belief.py
+++ b/siskinlug/belief.py
@@ -24,6 +24,9 @@
 # A request that runs this many times as long as usual has stalled.
 STALL_RATIO = 4.0
 STALL_LEAST_S = 0.5
+# Weight of the latest answer in the share of requests that a target sheds: targets
+# see 2 to 5 requests a second (bench notes), so the last four answers count most.
+_SHED_WEIGHT = 0.25
 # Neither state is ever certain, or a change of state would be noticed too late.
 _LEAST = 0.005
 
@@ -40,7 +43,6 @@
     FAST_ERROR = (0.85, 0.02)
     LATE_ERROR = (0.4, 0.1)
     LOST = (0.6, 0.03)
-    SHED = (0.5, 0.15)
     STALLED = (0.4, 0.06)
     UNREACHABLE = (0.9, 0.005)
 
@@ -56,6 +58,9 @@
         self.trial_until = -math.inf
         # Requests that run for much longer than usual now.
         self.stalled = 0
+        # Share of requests that the target sheds, as of the last answer.
+        self.shed = 0.0
+        self.shed_at = self.at
 
 
 class Standing(NamedTuple):
@@ -64,10 +69,12 @@
     Attributes:
         sound: Probability that the target is sound.
         wants_trial: Whether a request that may be repeated may try a doubted target.
+        shed: Share of requests that it turns away unrun.
     """
 
     sound: float
     wants_trial: bool
+    shed: float
 
 
 # Below this probability a target gets one request at a time to show what it does.
@@ -108,7 +115,26 @@
 def standing_of(belief: Belief) -> Standing:
     """Return what entries are told of the target."""
     wants = belief.monotonic() >= belief.trial_until
-    return Standing(probability_sound(belief), wants)
+    return Standing(probability_sound(belief), wants, share_shed(belief))
+
+
+def share_shed(belief: Belief) -> float:
+    """Return the share of requests that the target sheds now."""
+    age_s = max(belief.monotonic() - belief.shed_at, 0.0)
+    return belief.shed * math.exp(-age_s / FORGET_S)
+
+
+def note_shed(belief: Belief, *, shed: bool) -> float:
+    """Count an answer as shed or not, and return the share of requests shed.
+
+    A request that was shed has not run and may be tried elsewhere at the price of a
+    retry, so shedding does not make a target doubted: if all targets of a pool shed,
+    trials alone would leave most of their slots unused.
+    """
+    share = share_shed(belief)
+    belief.shed = share + _SHED_WEIGHT * (shed - share)
+    belief.shed_at = belief.monotonic()
+    return belief.shed
 
 
 def admit(belief: Belief, *, least_sound: float) -> bool:
--- a/siskinlug/load_poll.py
+++ b/siskinlug/load_poll.py
@@ -34,6 +34,7 @@
         in_use: Slots taken.
         slots: Slots in all.
         wait_s: Expected wait of the request that was asked for, in seconds.
+        shed: Share of requests that the target turns away unrun.
     """
 
     target: str
@@ -42,6 +43,7 @@
     in_use: int
     slots: int
     wait_s: float
+    shed: float = 0.0
 
 
 class Turn(msgspec.Struct, array_like=True, frozen=True):
--- a/siskinlug/owner.py
+++ b/siskinlug/owner.py
@@ -15,6 +15,7 @@
 from siskinlug.belief import (
     Sign,
     admit,
+    note_shed,
     probability_sound,
     see,
     standing_of,
@@ -189,6 +190,7 @@
         load.in_use,
         load.slots,
         round(wait_s, 4),
+        round(standing_now.shed, 3),
     )
 
 
@@ -439,6 +441,7 @@
             if refusal := _target_refusal(run, answer):
                 yield Failure(refusal)
                 return
+            _note_shed(run, shed=False)
             service_s = owner.monotonic() - started_at
             answer.headers["Siskinlug-Service-Ms"] = f"{service_s * 1000:.2f}"
             if answer.status >= 500:
@@ -476,6 +479,19 @@
         run.owned.admission.refuse_queued(Reason.TARGET_DOUBTED)
 
 
+def _note_shed(run: _Run, *, shed: bool) -> None:
+    share = note_shed(run.owned.belief, shed=shed)
+    if shed:
+        log_event(
+            "shed",
+            target=run.request.target,
+            request_id=run.request_id,
+            attempt=run.request.attempt,
+            route=run.request.route,
+            share=round(share, 3),
+        )
+
+
 def _note_survived(run: _Run) -> None:
     owner, fingerprint = run.owner, run.request.fingerprint
     if standing(owner.quarantine, fingerprint) != CLEAR:
@@ -496,7 +512,7 @@
     ):
         run.slot.finish(status=503, service_s=0.0, shed=True)
         if run.owner.believes:
-            _see(run, Sign.SHED)
+            _note_shed(run, shed=True)
         return not_run(Reason.TARGET_SHED, run.request.target)
     return None
 
--- a/siskinlug/placement.py
+++ b/siskinlug/placement.py
@@ -21,6 +21,10 @@
 LATE_COST = 0.6
 # Cost of a target that refused this very request before.
 REFUSAL_COST = 0.3
+# Cost of being shed: it takes a retry and a round trip, or, where the retry budget is
+# used up, the request itself.
+SHED_COST = 0.15
+SHED_FINAL_COST = 0.9
 # Decides between targets that are alike: the one with more free slots.
 USE_COST = 0.02
 
@@ -35,6 +39,7 @@
         in_use: Slots taken.
         slots: Slots of the target.
         wait_s: Expected wait of a new request, in seconds.
+        shed: Share of requests that it turns away unrun.
         refusals: Times that this request was refused there.
     """
 
@@ -44,6 +49,7 @@
     in_use: int
     slots: int
     wait_s: float
+    shed: float = 0.0
     refusals: int = 0
 
 
@@ -57,6 +63,7 @@
         left_s: What is left of that time.
         usual_s: Usual time of the work, in seconds.
         megabytes: Expected size of request and answer, in megabytes.
+        may_retry: Whether the retry budget has room for another attempt.
     """
 
     may_trial: bool
@@ -64,6 +71,7 @@
     left_s: float
     usual_s: float
     megabytes: float
+    may_retry: bool = True
 
 
 class Placed(NamedTuple):
@@ -85,6 +93,7 @@
     if state.wait_s > 0 and late_s > 0:
         cost += LATE_COST * min(late_s / max(need.usual_s, 0.01), 1.0)
     cost += USE_COST * state.in_use / max(state.slots, 1)
+    cost += state.shed * (SHED_COST if need.may_retry else SHED_FINAL_COST)
     cost += REFUSAL_COST * state.refusals
     if state.candidate.distance > 1:
         cost += CROSS_DOMAIN_COST_PER_MB * need.megabytes
--- a/siskinlug/placing.py
+++ b/siskinlug/placing.py
@@ -142,6 +142,7 @@
         objective_s=request.objective_s,
         left_s=request.started_at + request.objective_s - entry.monotonic(),
         usual_s=usual_s(entry, request),
+        may_retry=budget is not None and budget.credit >= 1.0,
         megabytes=entry.bytes_by_route.get(request.route.name, UNKNOWN_BYTES)
         / _MEGABYTE,
     )
@@ -170,6 +171,7 @@
             target=placed.state.candidate.target,
             owner=placed.state.candidate.node,
             sound=placed.state.sound,
+            shed=placed.state.shed,
             wait_s=placed.state.wait_s,
             in_use=placed.state.in_use,
             cost=round(placed.cost, 4),
@@ -223,5 +225,6 @@
         in_use=report.in_use,
         slots=report.slots,
         wait_s=report.wait_s,
+        shed=report.shed,
         refusals=refusals[candidate.target],
     )
--- a/tests/test_belief.py
+++ b/tests/test_belief.py
@@ -15,6 +15,7 @@
     Sign,
     admit,
     make_belief,
+    note_shed,
     probability_sound,
     see,
     standing_of,
@@ -44,6 +45,30 @@
         see(self.belief, Sign.FAST_ERROR)
         self.assertThat(probability_sound(self.belief), LessThan(TRIAL_BELOW))
 
+    def test_all_targets_of_a_pool_shed_half_of_their_requests(self) -> None:
+        """Guards against trials alone at targets that run every second request.
+
+        A request that was shed has not run, so it costs a retry and no work.
+        """
+        see(self.belief, Sign.WORKS)
+        for turn in range(20):
+            note_shed(self.belief, shed=turn % 2 == 0)
+            self.clock.now += 0.05
+        self.assertThat(standing_of(self.belief).shed, GreaterThan(0.3))
+        for _ in range(5):
+            self.assertThat(admit(self.belief, least_sound=TRIAL_BELOW), Equals(True))
+
+    def test_shedding_is_forgotten(self) -> None:
+        """Guards against a target that is avoided long after it has stopped to shed."""
+        for _ in range(5):
+            note_shed(self.belief, shed=True)
+        for _ in range(10):
+            note_shed(self.belief, shed=False)
+        self.assertThat(standing_of(self.belief).shed, LessThan(0.1))
+        note_shed(self.belief, shed=True)
+        self.clock.now += 30.0
+        self.assertThat(standing_of(self.belief).shed, LessThan(0.01))
+
     def test_doubt_fades_without_answers(self) -> None:
         """Guards against a target that never gets work again."""
         see(self.belief, Sign.FAST_ERROR)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -20,9 +20,10 @@
     in_use: int = 1,
     wait_s: float = 0.0,
     distance: int = 2,
+    shed: float = 0.0,
 ) -> TargetState:
     candidate = Candidate(target, f"node-of-{target}", distance, 1.0, 5)
-    return TargetState(candidate, sound, wants_trial, in_use, 5, wait_s)
+    return TargetState(candidate, sound, wants_trial, in_use, 5, wait_s, shed)
 
 
 def _name(placed: Placed | None) -> str | None:
@@ -79,6 +80,26 @@
         for need in (CALL, CALL._replace(may_trial=False, left_s=-1.0)):
             self.assertThat(_name(place(states, need)), Equals("queue"))
 
+    def test_one_target_sheds_beside_others_with_short_queues(self) -> None:
+        """Guards against the pull of a target that sheds, which has free slots."""
+        states = [
+            _state("sheds", shed=0.6, in_use=1),
+            _state("queue", wait_s=0.4, in_use=5),
+        ]
+        self.assertThat(_name(place(states, ONCE)), Equals("queue"))
+
+    def test_long_queue_beside_a_target_that_sheds(self) -> None:
+        """Guards against late answers where a retry would have been in time."""
+        states = [
+            _state("sheds", shed=0.4, in_use=1),
+            _state("queue", wait_s=2.2, in_use=5),
+        ]
+        self.assertThat(_name(place(states, ONCE)), Equals("sheds"))
+        broke = ONCE._replace(may_retry=False)
+        self.assertThat(
+            _name(place([states[0], _state("busy", wait_s=1.0)], broke)), Equals("busy")
+        )
+
     def test_a_wait_that_is_in_time_is_better_than_doubt(self) -> None:
         """Guards against bookings lost at a doubted target to save half a second."""
         states = [_state("queue", sound=0.98, wait_s=0.5), _state("doubt", sound=0.8)]
