Let requests wait for targets and the configuration while a node starts

Change: for two heartbeats after its start an entry lets a request wait for the first configuration and the first target of its pool; then it refuses at once as before.

--- a/siskinlug/entry.py
+++ b/siskinlug/entry.py
@@ -1,5 +1,6 @@
 """Entry role: match the route, run the request, give the verdict."""
 
+import asyncio
 import math
 import secrets
 
@@ -29,6 +30,9 @@
 from siskinlug.verdict import Reason, Refusal, Verdict, not_run
 
 MAX_KEY_CHARS = 256
+# Pause between looks for the first configuration of a node that starts, in seconds:
+# reading it takes a few milliseconds when the store is there.
+TABLES_PAUSE_S = 0.05
 
 
 async def serve_caller(entry: Entry, inbound: Inbound) -> None:
@@ -113,10 +117,11 @@
     entry: Entry, inbound: Inbound, request_id: str, started_at: float
 ) -> Result[Request, Refusal]:
     """Match the route and prepare the request for the targets."""
+    head = inbound.head
+    await _wait_for_tables(entry, started_at + _caller_wait_s(entry, head))
     tables = entry.tables()
-    if not tables.routes_version or not tables.pools_version:
+    if not tables.in_force:
         return Failure(not_run(Reason.NO_CONFIGURATION, "no tables are in force"))
-    head = inbound.head
     host = head.headers.get("Host", "")
     route = match_route(tables, head.method, host, head.path)
     if route is None:
@@ -154,6 +159,13 @@
     )
 
 
+async def _wait_for_tables(entry: Entry, deadline: float) -> None:
+    """Wait for the first configuration while this node is starting."""
+    until = min(entry.settled_at, deadline)
+    while not entry.tables().in_force and entry.monotonic() < until:
+        await asyncio.sleep(TABLES_PAUSE_S)
+
+
 def _fingerprint(key: str, inbound: Inbound) -> str:
     head = inbound.head
     return fingerprint_of(
--- a/siskinlug/entry_state.py
+++ b/siskinlug/entry_state.py
@@ -119,6 +119,7 @@
         random: Random,
         retry_allowance: Callable[[], RetryAllowance],
         hold_answer_bytes: int,
+        settle_s: float = 0.0,
     ) -> None:
         self.view = view
         self.owner = owner
@@ -142,6 +143,8 @@
         self.count = 0
         # Time by which this node, once it stops, has answered all; monotonic seconds.
         self.stop_at = math.inf
+        # Until then targets and the configuration may still be unknown after a start.
+        self.settled_at = monotonic() + settle_s
 
 
 def new_id(entry: Entry) -> str:
--- a/siskinlug/node.py
+++ b/siskinlug/node.py
@@ -116,6 +116,8 @@
         hold_answer_bytes: Answers up to this size are held until they are whole, so
             that a cut or failed one can be tried elsewhere; 0 passes all on at once.
         peer_connect_s: Time to connect to another node for an attempt, in seconds.
+        settle_s: Time after the start in which requests wait for a configuration and
+            for targets to announce themselves, in seconds.
     """
 
     dialect: Dialect = OWN_DIALECT
@@ -127,6 +129,7 @@
     retry_allowance: Callable[[int], RetryAllowance] = lambda _nodes: RetryAllowance()
     hold_answer_bytes: int = 0
     peer_connect_s: float = CONNECT_TIMEOUT_S
+    settle_s: float = 0.0
 
 
 class Node:
@@ -243,6 +246,7 @@
             claims=self.claims,
             dialect=wiring.dialect,
             service=wiring.service,
+            settle_s=wiring.settle_s,
             random=random,
             retry_allowance=lambda: wiring.retry_allowance(
                 1 + len(self.membership.others())
--- a/siskinlug/placing.py
+++ b/siskinlug/placing.py
@@ -94,9 +94,11 @@
             if entry.monotonic() > last_at and entry.stop_at < math.inf:
                 return None
             found = _candidates(entry, request, {t.target for t in attempted if t.sent})
-            if not found:
+            if not found and (attempted or entry.monotonic() >= entry.settled_at):
                 return None
-            placed = await _ask(entry, polls, request, found, attempted)
+            placed = (
+                await _ask(entry, polls, request, found, attempted) if found else None
+            )
             now = entry.monotonic()
             if placed is not None and _will_do(placed, request, now >= give_up_at):
                 sound = placed.state.sound
--- a/siskinlug/serving.py
+++ b/siskinlug/serving.py
@@ -156,7 +156,7 @@
 
 def is_ready(node: Node) -> bool:
     """Whether this node takes work of callers."""
-    return bool(node.tables().routes_version) and not node.owner.leaving
+    return node.tables().in_force and not node.owner.leaving
 
 
 async def _follow_configuration(node: Node) -> None:
--- a/siskinlug/tables.py
+++ b/siskinlug/tables.py
@@ -103,6 +103,11 @@
     routes_by_name: Mapping[str, Route]
     pools_by_name: Mapping[str, Pool]
 
+    @property
+    def in_force(self) -> bool:
+        """Whether there is a version of both."""
+        return bool(self.routes_version and self.pools_version)
+
 
 NO_TABLES = Tables(0, 0, {}, {})
 
--- a/tests/test_stopping_entry.py
+++ b/tests/test_stopping_entry.py
@@ -1,6 +1,7 @@
-"""What a stopping entry does with requests that still wait for a target."""
+"""What an entry that starts or stops does with requests that wait for a target."""
 
 import asyncio
+import math
 from collections import deque
 from random import Random
 from types import SimpleNamespace
@@ -30,6 +31,7 @@
                 monotonic=clock,
                 random=Random(1),
                 stop_at=stop_at,
+                settled_at=-math.inf,
                 view=SimpleNamespace(
                     directory=SimpleNamespace(own_node="n-0", record_by_node={})
                 ),
@@ -61,3 +63,69 @@
         """Guards against requests given up while there is time."""
         _, at = self._place(stop_at=float("inf"))
         self.assertThat(at > 19.0, Equals(True))
+
+
+class StartingEntryTest(testtools.TestCase):
+    def _refused_at(self, *, settled_at: float, known_at: float) -> tuple[bool, float]:
+        """Place a request whose pool has no known target before some time.
+
+        Returns:
+            Whether it was refused, and when it was refused or first could be placed.
+        """
+
+        async def main() -> tuple[bool, float]:
+            clock = asyncio.get_running_loop().time
+            candidate = Candidate("t-1", "n-1", 2, 1.0, 4)
+            asked = asyncio.Event()
+
+            def found(*_: object) -> list[Candidate]:
+                return [candidate] if clock() >= known_at else []
+
+            async def ask(*_: object) -> None:
+                asked.set()
+
+            self.patch(placing, "candidates", found)
+            self.patch(placing, "_ask", ask)
+            entry: Any = SimpleNamespace(
+                monotonic=clock,
+                random=Random(1),
+                stop_at=math.inf,
+                settled_at=settled_at,
+                view=None,
+                recent_by_route={"r": deque([1.0] * 8)},
+            )
+            request: Any = SimpleNamespace(
+                route=ROUTE,
+                pool=Pool("p", "p"),
+                started_at=0.0,
+                deadline=20.0,
+                objective_s=8.0,
+            )
+            place = placing.place_by_asking(SimpleNamespace(transport=None))  # type: ignore[arg-type]
+            placing_task = asyncio.create_task(place(entry, request, []))
+            waits = {placing_task, asyncio.create_task(asked.wait())}
+            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+            refused, at = not asked.is_set(), clock()
+            for task in waits:
+                task.cancel()
+            return refused, at
+
+        return run_virtual(main())
+
+    def test_all_nodes_restart_and_their_targets_announce_themselves_later(
+        self,
+    ) -> None:
+        """Guards against refusals in the first heartbeat after a restart of all."""
+        refused, at = self._refused_at(settled_at=3.0, known_at=1.4)
+        self.assertThat(refused, Equals(False))
+        self.assertThat(at, LessThan(1.8))
+
+    def test_pool_without_targets_is_refused_once_all_had_time_to_announce(
+        self,
+    ) -> None:
+        """Guards against requests that wait for a target which does not exist."""
+        refused, at = self._refused_at(settled_at=3.0, known_at=60.0)
+        self.assertThat(refused, Equals(True))
+        self.assertThat(at, LessThan(3.4))
+        refused, at = self._refused_at(settled_at=0.0, known_at=60.0)
+        self.assertThat((refused, at), Equals((True, 0.0)))
