Bound retries of an entry by the window in which the fleet shares them

Cause, by reading: an entry's burst was drawn up once, at its first request, from the nodes that it knew then; a node that had just started knew few and took their shares. It was earned again by requests only, so a second trouble found little of it. Change: in any window an entry spends its share of the burst and the ratio of its requests; the share is the least of the window, so a node that loses sight of others keeps its own; after a start the burst comes bit by bit.

--- a/siskinlug/attempting.py
+++ b/siskinlug/attempting.py
@@ -24,9 +24,10 @@
 from siskinlug.remote_attempts import open_remote_attempt
 from siskinlug.retries import (
     FREE_REASONS,
-    RetryBudget,
+    Budget,
     hedge_after_s,
     make_retry_budget,
+    make_window_budget,
     may_retry,
     note_success,
 )
@@ -132,7 +133,7 @@
     entry: Entry,
     request: Request,
     attempted: Sequence[Attempted],
-    budget: RetryBudget,
+    budget: Budget,
     first: Placement,
 ) -> Placement | None:
     """Place an attempt beside a running one, where a slot is free for it."""
@@ -154,13 +155,20 @@
     return placement
 
 
-def _budget(entry: Entry, request: Request) -> RetryBudget:
+def _budget(entry: Entry, request: Request) -> Budget:
     budget = entry.budget_by_pool.get(request.pool.name)
     if budget is None:
         allowance = entry.retry_allowance()
-        budget = make_retry_budget(
-            ratio=allowance.ratio, burst=allowance.burst, monotonic=entry.monotonic
-        )
+        if allowance.window_s > 0:
+            budget = make_window_budget(
+                entry.retry_allowance,
+                monotonic=entry.monotonic,
+                started_at=entry.started_at,
+            )
+        else:
+            budget = make_retry_budget(
+                ratio=allowance.ratio, burst=allowance.burst, monotonic=entry.monotonic
+            )
         entry.budget_by_pool[request.pool.name] = budget
     return budget
 
@@ -198,7 +206,7 @@
     request: Request,
     refusal: Refusal,
     attempted: Sequence[Attempted],
-    budget: RetryBudget,
+    budget: Budget,
 ) -> bool:
     if not inbound.body.can_replay:
         return False
--- a/siskinlug/entry_state.py
+++ b/siskinlug/entry_state.py
@@ -16,7 +16,7 @@
 from siskinlug.metrics import Metrics
 from siskinlug.owner import Owner
 from siskinlug.remote_attempts import RemoteOwners
-from siskinlug.retries import RetryAllowance, RetryBudget
+from siskinlug.retries import Budget, RetryAllowance
 from siskinlug.service_times import ServiceTimes
 from siskinlug.tables import Pool, Route, Tables
 from siskinlug.verdict import Refusal, Verdict
@@ -136,7 +136,7 @@
         self.random = random
         self.retry_allowance = retry_allowance
         self.hold_answer_bytes = hold_answer_bytes
-        self.budget_by_pool: dict[str, RetryBudget] = {}
+        self.budget_by_pool: dict[str, Budget] = {}
         self.recent_by_route: dict[str, deque[float]] = {}
         self.bytes_by_route: dict[str, float] = {}
         self.avoid_until_by_target: dict[str, float] = {}
@@ -144,7 +144,8 @@
         # Time by which this node, once it stops, has answered all; monotonic seconds.
         self.stop_at = math.inf
         # Until then targets and the configuration may still be unknown after a start.
-        self.settled_at = monotonic() + settle_s
+        self.started_at = monotonic()
+        self.settled_at = self.started_at + settle_s
 
 
 def new_id(entry: Entry) -> str:
--- a/siskinlug/retries.py
+++ b/siskinlug/retries.py
@@ -1,5 +1,7 @@
 """Retry budget of a pool, the rule for retries and the rule for hedging."""
 
+import math
+from collections import deque
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -54,11 +56,14 @@
             repeated gets a second one beside it; 0 for none.
         by_request: Whether requests earn retries. Where successes do, a pool that
             fails gets few retries when they would help most.
+        window_s: Time in which ``burst`` may be spent once, in seconds; 0 where it is
+            earned again by ``ratio`` only.
     """
 
     ratio: float = 0.1
     burst: float = 10.0
     by_request: bool = False
+    window_s: float = 0.0
     hedge_ratio: float = 0.0
 
 
@@ -105,6 +110,85 @@
         return True
 
 
+class WindowBudget:
+    """Retries of a pool by a bound on each window of time, as a fleet shares it.
+
+    In any window an entry spends no more than its share of the burst and the ratio of
+    its requests. After a start nothing is known of what the process before has spent,
+    so the burst is available bit by bit over the first window.
+
+    Attributes:
+        spent: Retries spent since the start.
+        denied: Retries denied for lack of credit since the start.
+    """
+
+    def __init__(
+        self,
+        *,
+        allowance: Callable[[], RetryAllowance],
+        monotonic: Callable[[], float],
+        started_at: float,
+    ) -> None:
+        self.allowance = allowance
+        self.monotonic = monotonic
+        self.started_at = started_at
+        self.spent = 0
+        self.denied = 0
+        self._requests: deque[float] = deque()
+        self._spent: deque[float] = deque()
+        # Least burst seen in the window. A node that loses sight of others must not
+        # spend their share at once.
+        self._burst = math.inf
+        self._burst_at = -math.inf
+
+    @property
+    def credit(self) -> float:
+        """Retries that may be spent now."""
+        now, allowance = self.monotonic(), self.allowance()
+        since = now - allowance.window_s
+        for times in (self._requests, self._spent):
+            while times and times[0] < since:
+                times.popleft()
+        if allowance.burst <= self._burst or self._burst_at < since:
+            self._burst, self._burst_at = allowance.burst, now
+        known = min((now - self.started_at) / allowance.window_s, 1.0)
+        earned = allowance.ratio * len(self._requests)
+        return self._burst * known + earned - len(self._spent)
+
+    def note_success(self) -> None:
+        """Count a request, which earns a share of a retry for the window."""
+        self._requests.append(self.monotonic())
+
+    def try_spend(self) -> bool:
+        """Spend one retry if there is credit for it."""
+        if self.credit < 1.0:
+            self.denied += 1
+            return False
+        self._spent.append(self.monotonic())
+        self.spent += 1
+        return True
+
+
+# What limits the retries of a pool at one entry.
+Budget = RetryBudget | WindowBudget
+
+
+def make_window_budget(
+    allowance: Callable[[], RetryAllowance],
+    *,
+    monotonic: Callable[[], float],
+    started_at: float,
+) -> WindowBudget:
+    """Make the retry budget of one pool at an entry that shares it with a fleet.
+
+    Args:
+        allowance: What this entry may spend now, by the nodes that it knows.
+        monotonic: Clock in seconds.
+        started_at: When this process started, on that clock.
+    """
+    return WindowBudget(allowance=allowance, monotonic=monotonic, started_at=started_at)
+
+
 def make_retry_budget(
     *, ratio: float = 0.1, burst: float = 10, monotonic: Callable[[], float]
 ) -> RetryBudget:
@@ -118,12 +202,12 @@
     return RetryBudget(ratio=ratio, burst=burst, monotonic=monotonic)
 
 
-def note_success(budget: RetryBudget) -> None:
+def note_success(budget: Budget) -> None:
     """Count one success of the pool."""
     budget.note_success()
 
 
-def try_spend(budget: RetryBudget) -> bool:
+def try_spend(budget: Budget) -> bool:
     """Spend one retry, or return false if the budget has none."""
     return budget.try_spend()
 
@@ -136,7 +220,7 @@
     now: float,
     deadline: float,
     expected_s: float,
-    budget: RetryBudget,
+    budget: Budget,
     sent: int | None = None,
 ) -> bool:
     """Decide on another attempt, and spend the budget for it.
@@ -201,7 +285,7 @@
     running_s: float,
     now: float,
     deadline: float,
-    budget: RetryBudget,
+    budget: Budget,
 ) -> bool:
     """Decide on a second attempt beside a running one, and spend the budget for it.
 
--- a/tests/test_load_rules.py
+++ b/tests/test_load_rules.py
@@ -15,7 +15,9 @@
 from siskinlug.retries import (
     FINAL_REASONS,
     FREE_REASONS,
+    RetryAllowance,
     make_retry_budget,
+    make_window_budget,
     may_hedge,
     may_retry,
     note_success,
@@ -171,6 +173,72 @@
         most = burst + ratio * sum(successes)
         self.assertThat(spent, LessThan(most + 1e-6))
 
+    @given(
+        st.lists(st.tuples(st.floats(0, 3), st.booleans()), max_size=200),
+        st.floats(0, 0.5),
+        st.floats(0, 20),
+    )
+    def test_retries_stay_within_the_bound_of_each_window(
+        self, steps: list[tuple[float, bool]], ratio: float, burst: float
+    ) -> None:
+        """Guards against a burst in each of two troubles that share a window."""
+        now = 0.0
+        allowance = RetryAllowance(ratio, burst, by_request=True, window_s=10.0)
+        budget = make_window_budget(
+            lambda: allowance, monotonic=lambda: now, started_at=-60.0
+        )
+        requests: list[float] = []
+        spent: list[float] = []
+        for pause_s, is_request in steps:
+            now += pause_s
+            if is_request:
+                note_success(budget)
+                requests.append(now)
+            elif try_spend(budget):
+                spent.append(now)
+        for end in spent:
+            in_window = [at for at in spent if end - 10.0 <= at <= end]
+            # A retry of the window may have been earned before it.
+            earned = [at for at in requests if end - 20.0 <= at <= end]
+            most = burst + ratio * len(earned)
+            self.assertThat(len(in_window), LessThan(most + 1e-6))
+
+    def test_burst_of_a_window_is_there_again_in_the_next(self) -> None:
+        """Guards against a service that sheds again when its burst is long spent."""
+        now = 0.0
+        allowance = RetryAllowance(0.0, 2.0, by_request=True, window_s=10.0)
+        budget = make_window_budget(
+            lambda: allowance, monotonic=lambda: now, started_at=-60.0
+        )
+        spent = 0
+        for _ in range(35):
+            spent += sum(try_spend(budget) for _ in range(3))
+            now += 1.0
+        self.assertThat(spent, Equals(8))
+
+    def test_no_burst_at_once_after_all_nodes_restart(self) -> None:
+        """Guards against a second burst in the window in which all were killed."""
+        now = 0.0
+        allowance = RetryAllowance(0.0, 4.0, by_request=True, window_s=10.0)
+        budget = make_window_budget(
+            lambda: allowance, monotonic=lambda: now, started_at=0.0
+        )
+        self.assertThat(try_spend(budget), Equals(False))
+        now = 5.1
+        self.assertThat([try_spend(budget) for _ in range(3)].count(True), Equals(2))
+
+    def test_node_that_loses_sight_of_others_keeps_its_share(self) -> None:
+        """Guards against the whole fleet's burst at each node of a partition."""
+        now, burst = 100.0, 2.0
+        budget = make_window_budget(
+            lambda: RetryAllowance(0.0, burst, by_request=True, window_s=10.0),
+            monotonic=lambda: now,
+            started_at=0.0,
+        )
+        self.assertThat(budget.credit, Equals(2.0))
+        now, burst = 105.0, 48.0
+        self.assertThat(budget.credit, Equals(2.0))
+
     @given(
         refusal=_REFUSALS,
         idempotent=st.booleans(),
