--- a/siskinlug/placement.py
+++ b/siskinlug/placement.py
@@ -5,6 +5,7 @@
 
 from siskinlug.belief import TRIAL_BELOW
 from siskinlug.choice import Candidate
+from siskinlug.deadline_queue import WAIT_MARGIN
 
 # Share of a request's worth that a megabyte between failure domains costs the users:
 # 4,300 for a gigabyte on both price lists.
@@ -89,7 +90,8 @@
 def cost_of_reaching(state: TargetState, need: Need) -> float:
     """Return the expected loss by wait, load and distance at a target."""
     cost = WAIT_COST * min(state.wait_s / max(need.objective_s, 0.01), 1.0)
-    late_s = state.wait_s + need.usual_s - need.left_s
+    # As its owner will judge it on arrival.
+    late_s = WAIT_MARGIN * state.wait_s + need.usual_s - need.left_s
     if state.wait_s > 0 and late_s > 0:
         cost += LATE_COST * min(late_s / max(need.usual_s, 0.01), 1.0)
     cost += USE_COST * state.in_use / max(state.slots, 1)
--- a/siskinlug/retries.py
+++ b/siskinlug/retries.py
@@ -26,6 +26,9 @@
 FREE_ATTEMPTS = 3
 # Owners that refuse before a target hears of a request cost a round trip each.
 REFUSED_ATTEMPTS = 30
+# Attempts after which a request that every queue would make late is refused. Each was
+# chosen for its short wait, so a third one would find no more time.
+DEADLINE_ATTEMPTS = 2
 # Refusals that any other target would repeat.
 FINAL_REASONS = frozenset(
     {
@@ -247,8 +250,8 @@
         return False
     if sent is not None and refusal.verdict is Verdict.NOT_RUN:
         if refusal.reason is Reason.DEADLINE:
-            # The owner was chosen for its short wait; another one has no more time.
-            return False
+            # Others may have filled the queue since its owner was asked.
+            return attempt < DEADLINE_ATTEMPTS
         # Only a target that refused by itself has got the request.
         reached = refusal.reason is Reason.TARGET_SHED
         return attempt <= REFUSED_ATTEMPTS and (not reached or budget.try_spend())
--- a/tests/test_load_rules.py
+++ b/tests/test_load_rules.py
@@ -31,7 +31,7 @@
     observe,
 )
 from siskinlug.tables import Route
-from siskinlug.verdict import Reason, Refusal, Verdict
+from siskinlug.verdict import Reason, Refusal, Verdict, not_run
 
 
 def _clock() -> float:
@@ -290,6 +290,24 @@
             )
             self.assertThat(retried, Equals(idempotent))
 
+    def test_queue_that_filled_up_meanwhile_is_tried_elsewhere_once(self) -> None:
+        """Guards against a refusal while another target of the pool is free."""
+        refusal = not_run(Reason.DEADLINE)
+        allowed = [
+            may_retry(
+                _ROUTE,
+                refusal,
+                attempt=attempt,
+                sent=0,
+                now=0.0,
+                deadline=5.0,
+                expected_s=0.5,
+                budget=make_retry_budget(burst=0, monotonic=_clock),
+            )
+            for attempt in (1, 2, 3)
+        ]
+        self.assertThat(allowed, Equals([True, False, False]))
+
     def test_a_planned_stop_needs_no_budget(self) -> None:
         """Guards against a planned stop that fails requests on a strict route."""
         budget = make_retry_budget(burst=0, monotonic=_clock)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -100,6 +100,11 @@
             _name(place([states[0], _state("busy", wait_s=1.0)], broke)), Equals("busy")
         )
 
+    def test_queue_that_its_owner_would_refuse(self) -> None:
+        """Guards against a booking refused for a queue beside a free, older belief."""
+        states = [_state("queue", sound=0.99, wait_s=1.4), _state("free", sound=0.88)]
+        self.assertThat(_name(place(states, ONCE)), Equals("free"))
+
     def test_a_wait_that_is_in_time_is_better_than_doubt(self) -> None:
         """Guards against bookings lost at a doubted target to save half a second."""
         states = [_state("queue", sound=0.98, wait_s=0.5), _state("doubt", sound=0.8)]
