--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -3,13 +3,14 @@
 import asyncio
 import http.client
 import json
+import os
 import random
 import signal
 import subprocess
 import sys
 import tempfile
 import time
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from contextlib import contextmanager, suppress
 from pathlib import Path
 from typing import Any, NamedTuple
@@ -53,8 +54,16 @@
 class Process:
     """One process of the fleet and the file that holds its output."""
 
-    def __init__(self, name: str, arguments: Sequence[str], log_path: Path) -> None:
+    def __init__(
+        self,
+        name: str,
+        arguments: Sequence[str],
+        log_path: Path,
+        *,
+        environment: Mapping[str, str] | None = None,
+    ) -> None:
         self.name = name
+        self.environment = environment or {}
         self.arguments = list(arguments)
         self.log_path = log_path
         self.popen: subprocess.Popen[bytes] | None = None
@@ -65,6 +74,7 @@
             self.popen = subprocess.Popen(
                 [sys.executable, *self.arguments],
                 cwd=ROOT,
+                env={**os.environ, **self.environment},
                 stdout=output,
                 stderr=subprocess.STDOUT,
                 stdin=subprocess.DEVNULL,
