Add a fault soak: daemons as processes under seeded faults from outside

Kills, planned stops, pauses, troubles of the store and of targets, replacements and changes of the configuration overlap; callers use kept connections until the node is gone. No proxies between nodes and no clocks yet.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,10 @@
 # Test processes; fault tests start daemons, so this stays below the core count.
 WORKERS ?= 4
 
-.PHONY: run test fuzz lint bench capacity venv
+# Seeds of a soak by hand; fresh ones.
+SEEDS ?= 50
+
+.PHONY: run test fuzz lint bench capacity soak venv
 
 venv: $(VENV)/.ready
 
@@ -31,6 +34,9 @@
 bench: venv
 	$(PYTHON) -m bench.measures
 
+soak: venv
+	PYTHONPATH=platform $(PYTHON) -m soak --count $(SEEDS)
+
 capacity: venv
 	$(PYTHON) -m bench.capacity
 	$(PYTHON) -m bench.capacity_page
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,46 @@
+"""Command of the soak: ``PYTHONPATH=platform python -m soak``."""
+
+import asyncio
+import shutil
+from pathlib import Path
+from random import SystemRandom
+from typing import Annotated
+
+import typer
+
+from soak.running import run_soak
+
+OUT = Path("out")
+
+
+def main(
+    seed: Annotated[int, typer.Option(help="First seed; fresh ones if 0.")] = 0,
+    count: Annotated[int, typer.Option(help="Number of seeds.")] = 1,
+    seconds: Annotated[float, typer.Option(help="Time with faults, in s.")] = 12.0,
+    nodes: Annotated[int, typer.Option(help="Number of nodes.")] = 4,
+) -> None:
+    """Run soaks one after the other; logs of those that fail are kept."""
+    failed = 0
+    for number in range(count):
+        drawn = seed + number if seed else SystemRandom().randrange(1, 10**9)
+        folder = OUT / f"soak-{drawn}"
+        folder.mkdir(parents=True, exist_ok=True)
+        report = asyncio.run(
+            run_soak(drawn, seconds=seconds, nodes=nodes, folder=folder.resolve())
+        )
+        typer.echo(
+            f"seed {drawn}: {len(report.violations)} violations, "
+            f"requests {dict(report.requests)}, faults {dict(report.faults)}"
+        )
+        for line in report.violations[:10]:
+            typer.echo(f"  {line}")
+        if report.violations:
+            failed += 1
+        else:
+            shutil.rmtree(folder)
+    typer.echo(f"{count - failed} passed, {failed} failed")
+    raise typer.Exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/soak/checks.py
@@ -0,0 +1,155 @@
+"""Promises checked after a soak, from what callers and targets have seen."""
+
+from collections import Counter
+from collections.abc import Iterable, Mapping, Sequence
+from typing import NamedTuple
+
+from soak.calling import Outcome
+
+# Statuses that promise that a request has not run and never will.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+# A target that was acknowledged to be leaving gets nothing new after this time.
+DRAIN_S = 2.0
+# A configuration is in force this long after it was written, where all is calm.
+IN_FORCE_S = 2.0
+# After a fault it is calm again once nothing has happened for this time.
+CALM_S = 4.0
+
+
+class Fault(NamedTuple):
+    """Something done to the system from outside; times are the loop's, in seconds.
+
+    Attributes:
+        kind: What was done.
+        node: Number of the node, 0 for the store or all.
+        started_at: When it began.
+        ended_at: When it was over.
+        planned: Whether it is work that the system must bear without a loss.
+    """
+
+    kind: str
+    node: int
+    started_at: float
+    ended_at: float
+    planned: bool = False
+
+
+class Seen(NamedTuple):
+    """What a soak has recorded.
+
+    Attributes:
+        outcomes: Requests of callers.
+        runs_by_id: Runs at targets by request id: target and time.
+        withdrawn_at_by_target: When each target had its leaving acknowledged.
+        faults: What was done, in order.
+        configured_at_by_path: When each extra route was written.
+    """
+
+    outcomes: Sequence[Outcome]
+    runs_by_id: Mapping[str, Sequence[tuple[str, float]]]
+    withdrawn_at_by_target: Mapping[str, float]
+    faults: Sequence[Fault]
+    configured_at_by_path: Mapping[str, float]
+
+
+def find_violations(seen: Seen) -> list[str]:
+    """Return each broken promise, a line each."""
+    return [
+        *_wrong_answers(seen.outcomes),
+        *_repeated(seen),
+        *_false_refusals(seen),
+        *_work_after_leaving(seen),
+        *_cut_by_planned_stops(seen),
+        *_configuration(seen),
+    ]
+
+
+def is_calm(faults: Iterable[Fault], start: float, end: float) -> bool:
+    """Whether no unplanned fault is near a span of time."""
+    return not any(
+        fault.started_at < end and fault.ended_at > start - CALM_S
+        for fault in faults
+        if not fault.planned
+    )
+
+
+def _wrong_answers(outcomes: Iterable[Outcome]) -> list[str]:
+    wrong = []
+    for outcome in outcomes:
+        if outcome.detail.startswith("answer of"):
+            wrong.append(f"answer of another request: {outcome}")
+        if outcome.status == 200:
+            signature, _, body = outcome.detail.partition(" ")
+            target = body.removeprefix("from ")
+            if signature != f"signed.{target}.{outcome.request_id}":
+                wrong.append(f"answer changed or cut: {outcome}")
+        if outcome.status == 404 and not outcome.path.startswith("/extra"):
+            wrong.append(f"refused though its route was always there: {outcome}")
+    return wrong
+
+
+def _repeated(seen: Seen) -> list[str]:
+    once = {outcome.request_id for outcome in seen.outcomes if outcome.once}
+    return [
+        f"ran {len(runs)} times: {request_id} at {runs}"
+        for request_id, runs in seen.runs_by_id.items()
+        if len(runs) > 1 and request_id in once
+    ]
+
+
+def _false_refusals(seen: Seen) -> list[str]:
+    return [
+        f"refused as not run, and ran at {runs}: {outcome}"
+        for outcome in seen.outcomes
+        if outcome.status in NOT_RUN_STATUSES
+        and (runs := seen.runs_by_id.get(outcome.request_id))
+    ]
+
+
+def _work_after_leaving(seen: Seen) -> list[str]:
+    late: Counter[str] = Counter()
+    for runs in seen.runs_by_id.values():
+        for target, at in runs:
+            withdrawn_at = seen.withdrawn_at_by_target.get(target)
+            if withdrawn_at is not None and at > withdrawn_at + DRAIN_S:
+                late[target] += 1
+    return [f"{n} requests at {target} after it left" for target, n in late.items()]
+
+
+def _cut_by_planned_stops(seen: Seen) -> list[str]:
+    stops = [fault for fault in seen.faults if fault.kind == "stop"]
+    return [
+        f"cut by a planned stop at {stop.started_at:.2f}: {outcome}"
+        for stop in stops
+        for outcome in seen.outcomes
+        if outcome.status == 0
+        and outcome.node == stop.node
+        and outcome.request_id in seen.runs_by_id
+        and outcome.sent_at < stop.ended_at
+        and outcome.ended_at > stop.started_at
+        and is_calm(seen.faults, outcome.sent_at, outcome.ended_at)
+    ]
+
+
+def _configuration(seen: Seen) -> list[str]:
+    """Check extra routes, of which each version has one that the next one drops."""
+    found = []
+    paths = list(seen.configured_at_by_path)
+    for outcome in seen.outcomes:
+        if outcome.path not in seen.configured_at_by_path or outcome.status == 0:
+            continue
+        index = paths.index(outcome.path)
+        since = seen.configured_at_by_path[outcome.path]
+        until = (
+            seen.configured_at_by_path[paths[index + 1]]
+            if index + 1 < len(paths)
+            else float("inf")
+        )
+        calm = is_calm(seen.faults, outcome.sent_at - IN_FORCE_S, outcome.ended_at)
+        added_late = outcome.sent_at > since + IN_FORCE_S and outcome.ended_at < until
+        dropped_late = outcome.sent_at > until + IN_FORCE_S
+        if calm and added_late and outcome.status == 404:
+            found.append(f"new route not in force: {outcome}")
+        if calm and dropped_late and outcome.status == 200:
+            found.append(f"dropped route still in force: {outcome}")
+    return found
