--- a/soak/faults.py
+++ b/soak/faults.py
@@ -118,12 +118,14 @@
     if await target.withdraw(chaos.site.control(node)) != 200:
         target.withdrawn = False
         return
-    chaos.withdrawn_at_by_target[leaving] = _now()
+    started_at = _now()
+    chaos.withdrawn_at_by_target[leaving] = started_at
     await asyncio.sleep(chaos.random.uniform(2.5, 4.0))
     target.target = f"{leaving.partition('.')[0]}.{chaos.random.randrange(10**6)}"
     target.born += 60_000
     target.sequence = 0
     target.withdrawn = False
+    chaos.faults.append(Fault("replace", node, started_at, _now(), planned=True))
 
 
 async def _configure(chaos: Chaos) -> None:
@@ -131,7 +133,7 @@
     path = f"/extra-{chaos.version}/"
     chaos.configured_at_by_path[path] = _now()
     chaos.site.store.put(TOPIC, KEY, configuration(chaos.version, extra=path))
-    await asyncio.sleep(0.1)
+    chaos.faults.append(Fault("configure", 0, _now(), _now(), planned=True))
 
 
 INJECTIONS: tuple[tuple[Inject, float], ...] = (
