--- a/tests/test_stopping_entry.py
+++ b/tests/test_stopping_entry.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 from collections import deque
+from collections.abc import Callable
 from random import Random
 from types import SimpleNamespace
 from typing import Any
@@ -19,6 +20,37 @@
 ROUTE = Route("r", "*", "/", (), "p", timeout_s=20.0, objective_s=8.0)
 
 
+def _entry(
+    clock: Callable[[], float],
+    *,
+    stop_at: float = math.inf,
+    settled_at: float = -math.inf,
+) -> Any:
+    return SimpleNamespace(
+        monotonic=clock,
+        random=Random(1),
+        stop_at=stop_at,
+        settled_at=settled_at,
+        view=SimpleNamespace(
+            directory=SimpleNamespace(own_node="n-0", record_by_node={})
+        ),
+        budget_by_pool={},
+        bytes_by_route={},
+        recent_by_route={"r": deque([1.0] * 8)},
+    )
+
+
+def _request() -> Any:
+    return SimpleNamespace(
+        route=ROUTE,
+        pool=Pool("p", "p"),
+        started_at=0.0,
+        deadline=20.0,
+        objective_s=8.0,
+        request_id="id-1",
+    )
+
+
 class StoppingEntryTest(testtools.TestCase):
     def _place(self, *, stop_at: float) -> tuple[Placement | None, float]:
         """Place a request for which no owner answers; return when it was given up."""
@@ -27,28 +59,9 @@
 
         async def main() -> tuple[Placement | None, float]:
             clock = asyncio.get_running_loop().time
-            entry: Any = SimpleNamespace(
-                monotonic=clock,
-                random=Random(1),
-                stop_at=stop_at,
-                settled_at=-math.inf,
-                view=SimpleNamespace(
-                    directory=SimpleNamespace(own_node="n-0", record_by_node={})
-                ),
-                budget_by_pool={},
-                bytes_by_route={},
-                recent_by_route={"r": deque([1.0] * 8)},
-            )
-            request: Any = SimpleNamespace(
-                route=ROUTE,
-                pool=Pool("p", "p"),
-                started_at=0.0,
-                deadline=20.0,
-                objective_s=8.0,
-                request_id="id-1",
-            )
             place = placing.place_by_asking(SimpleNamespace(transport=None))  # type: ignore[arg-type]
-            return await place(entry, request, []), clock()
+            entry = _entry(clock, stop_at=stop_at)
+            return await place(entry, _request(), []), clock()
 
         return run_virtual(main())
 
@@ -86,23 +99,9 @@
 
             self.patch(placing, "candidates", found)
             self.patch(placing, "_ask", ask)
-            entry: Any = SimpleNamespace(
-                monotonic=clock,
-                random=Random(1),
-                stop_at=math.inf,
-                settled_at=settled_at,
-                view=None,
-                recent_by_route={"r": deque([1.0] * 8)},
-            )
-            request: Any = SimpleNamespace(
-                route=ROUTE,
-                pool=Pool("p", "p"),
-                started_at=0.0,
-                deadline=20.0,
-                objective_s=8.0,
-            )
             place = placing.place_by_asking(SimpleNamespace(transport=None))  # type: ignore[arg-type]
-            placing_task = asyncio.create_task(place(entry, request, []))
+            entry = _entry(clock, settled_at=settled_at)
+            placing_task = asyncio.create_task(place(entry, _request(), []))
             waits = {placing_task, asyncio.create_task(asked.wait())}
             await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
             refused, at = not asked.is_set(), clock()
