--- a/siskinlug/configuration.py
+++ b/siskinlug/configuration.py
@@ -22,6 +22,7 @@
     check_tables,
     parse_pools,
     parse_routes,
+    routes_by_section,
 )
 
 STREAM = "configuration"
@@ -101,6 +102,16 @@
 EMPTY_STATE = ConfigurationState()
 
 
+class _LastRoutes:
+    """Routes of the table that was parsed last, by the text of their section."""
+
+    def __init__(self) -> None:
+        self.by_section: dict[str, Route] = {}
+
+
+_last_routes = _LastRoutes()
+
+
 class _Publish(msgspec.Struct, tag_field="kind", tag="publish"):
     id: str
     table: str
@@ -502,7 +513,10 @@
 # Two entries: the text in force and the one that may replace it.
 @lru_cache(maxsize=2)
 def _parse_routes(text: str) -> Result[dict[str, Route], list[Fault]]:
-    return parse_routes(text)
+    parsed = parse_routes(text, known_by_section=_last_routes.by_section)
+    if isinstance(parsed, Success):
+        _last_routes.by_section = routes_by_section(text, parsed.unwrap())
+    return parsed
 
 
 @lru_cache(maxsize=2)
--- a/siskinlug/tables.py
+++ b/siskinlug/tables.py
@@ -1,6 +1,8 @@
 """The operators' two tables: routes, and the pools that they refer to by name."""
 
+import re
 from collections.abc import Callable, Iterator, Mapping
+from types import MappingProxyType
 from typing import Any, NamedTuple, TypeVar
 
 from returns.result import Failure, Result, Success
@@ -23,6 +25,11 @@
 
 ANY = "*"
 
+# A bracket in the first column always begins a section, also after a value of several
+# lines.
+_SECTION_START = re.compile(r"^(?=\[)", re.MULTILINE)
+_COMMENTS = re.compile(r"(?:\s*(?:[#;].*)?\n)*")
+
 
 class Route(NamedTuple):
     """One row of the routes table.
@@ -267,22 +274,87 @@
 
 
 def parse_routes(
-    text: str, *, file: str = "routes.ini"
+    text: str,
+    *,
+    file: str = "routes.ini",
+    known_by_section: Mapping[str, Route] = MappingProxyType({}),
 ) -> Result[dict[str, Route], list[Fault]]:
     """Parse a routes table.
 
     Args:
         text: INI with one section for each route and the keys of ``ROUTE_SPECS``.
         file: File name for the faults.
+        known_by_section: Routes of an earlier table by the text of their section, from
+            ``routes_by_section``. Unchanged sections are not parsed again, so that the
+            cost of a change depends on its size and not on that of the table.
 
     Returns:
         The routes by name, or every fault found in this table alone.
     """
-    routes_by_name, faults = _parse_rows(text, ROUTE_SPECS, Route, file)
-    faults += _find_duplicate_routes(routes_by_name, file, locate_keys(text))
+    routes_by_name = _parse_changed_routes(text, file, known_by_section)
+    faults: list[Fault] = []
+    if routes_by_name is None:
+        routes_by_name, faults = _parse_rows(text, ROUTE_SPECS, Route, file)
+    faults += _find_duplicate_routes(routes_by_name, file, text)
     return Failure(faults) if faults else Success(routes_by_name)
 
 
+def routes_by_section(
+    text: str, routes_by_name: Mapping[str, Route]
+) -> dict[str, Route]:
+    """Return the routes of a table by the text of their section.
+
+    Args:
+        text: Text of a table without faults.
+        routes_by_name: The routes of that table.
+    """
+    by_section = {}
+    for section in _split_sections(text):
+        route = routes_by_name.get(_section_name(section))
+        if route is not None:
+            by_section[section] = route
+    return by_section
+
+
+def _parse_changed_routes(
+    text: str, file: str, known_by_section: Mapping[str, Route]
+) -> dict[str, Route] | None:
+    """Parse only the sections that are not known.
+
+    Returns:
+        The routes by name, or ``None`` if nothing is known or if the sections cannot be
+        parsed separately without a fault.
+    """
+    if not known_by_section:
+        return None
+    sections = _split_sections(text)
+    changed = [section for section in sections if section not in known_by_section]
+    parsed_by_name, faults = _parse_rows("".join(changed), ROUTE_SPECS, Route, file)
+    if faults or len(parsed_by_name) != len(changed):
+        return None
+    routes_by_name: dict[str, Route] = {}
+    for section in sections:
+        route = known_by_section.get(section) or parsed_by_name.get(
+            _section_name(section)
+        )
+        if route is None or route.name in routes_by_name:
+            return None
+        routes_by_name[route.name] = route
+    return routes_by_name
+
+
+def _split_sections(text: str) -> list[str]:
+    """Split a table into the texts of its sections, without leading comments."""
+    parts = _SECTION_START.split(text)
+    if _COMMENTS.fullmatch(parts[0]):
+        del parts[0]
+    return parts
+
+
+def _section_name(section: str) -> str:
+    return section[1 : section.find("]")]
+
+
 def parse_pools(
     text: str, *, file: str = "pools.ini"
 ) -> Result[dict[str, Pool], list[Fault]]:
@@ -402,18 +474,18 @@
 
 
 def _find_duplicate_routes(
-    routes_by_name: Mapping[str, Route],
-    file: str,
-    line_by_key: Mapping[tuple[str, str], int],
+    routes_by_name: Mapping[str, Route], file: str, text: str
 ) -> Iterator[Fault]:
     """Yield a fault for each route that matches the same requests as an earlier one."""
     name_by_match: dict[tuple[str, str, str], str] = {}
+    line_by_key: Mapping[tuple[str, str], int] = {}
     for route in routes_by_name.values():
         for method in route.methods or (ANY,):
             match = (route.host, route.path_prefix, method)
             earlier = name_by_match.setdefault(match, route.name)
             if earlier == route.name:
                 continue
+            line_by_key = line_by_key or locate_keys(text)
             key = next(
                 (k for k in ("path_prefix", "host") if (route.name, k) in line_by_key),
                 "",
--- a/tests/test_tables.py
+++ b/tests/test_tables.py
@@ -1,6 +1,7 @@
 """The routes and pools tables, and matching of requests to routes."""
 
 from pathlib import Path
+from typing import Any
 
 import testtools
 from hypothesis import given
@@ -8,9 +9,17 @@
 from returns.result import Failure, Success
 from testtools.matchers import Equals, Is, IsInstance, MatchesSetwise, StartsWith
 
+from siskinlug import tables
 from siskinlug.reference import RENDER_BY_PAGE, replace_reference
 from siskinlug.routing import match_route
-from siskinlug.tables import Route, Tables, parse_pools, parse_routes, parse_tables
+from siskinlug.tables import (
+    Route,
+    Tables,
+    parse_pools,
+    parse_routes,
+    parse_tables,
+    routes_by_section,
+)
 
 EXAMPLES = Path(__file__).resolve().parent.parent / "examples"
 
@@ -166,3 +175,67 @@
         for name, render in RENDER_BY_PAGE.items():
             page = (EXAMPLES.parent / "docs" / name).read_text()
             self.assertThat(replace_reference(page, render), Equals(page))
+
+
+def _routes_text(count: int, *, timeout_s_by_number: dict[int, int]) -> str:
+    return "# comment\n\n" + "".join(
+        f"[r{number}]\npool = p\npath_prefix = /r{number}\n"
+        f"timeout_s = {timeout_s_by_number.get(number, 5)}\n\n"
+        for number in range(count)
+    )
+
+
+class ChangedRoutesTest(testtools.TestCase):
+    """Load pattern: a table of 1,400 routes of which changes touch a few rows."""
+
+    def test_change_of_one_route_parses_one_section(self) -> None:
+        parsed_sections: list[str] = []
+        parse_section = tables.parse_section
+
+        def counting(*args: Any, section: str, **kwargs: Any) -> Any:
+            parsed_sections.append(section)
+            return parse_section(*args, section=section, **kwargs)
+
+        before = _routes_text(1400, timeout_s_by_number={})
+        known = routes_by_section(before, parse_routes(before).unwrap())
+        after = _routes_text(1400, timeout_s_by_number={7: 9})
+        self.patch(tables, "parse_section", counting)
+        changed = parse_routes(after, known_by_section=known)
+        self.assertThat(parsed_sections, Equals(["r7"]))
+        self.assertThat(changed.unwrap()["r7"].timeout_s, Equals(9))
+        self.assertThat(changed, Equals(parse_routes(after)))
+
+    @given(
+        before=st.lists(st.sampled_from("abcdefgh"), unique=True),
+        after=st.lists(
+            st.sampled_from(
+                [
+                    "[a]\npool=p\n",
+                    "[b]\npool=p\npath_prefix=/b\n",
+                    "[c]\npool=q\n",
+                    "[d]\n",
+                    "[a]x]\npool=p\n",
+                    "  [e]\npool=p\n",
+                    "[f\n",
+                    "text\n",
+                    "pool=p\n",
+                    "; comment\n",
+                    "[h]\npool=p\n  more\n",
+                    "[g]\nno=1\n",
+                ]
+            )
+        ),
+    )
+    def test_changed_table_is_parsed_as_a_new_one(
+        self, before: list[str], after: list[str]
+    ) -> None:
+        """Unchanged sections must not hide a fault or change the order of the rows."""
+        text = "".join(f"[{name}]\npool=p\npath_prefix=/{name}\n" for name in before)
+        known = routes_by_section(text, parse_routes(text).unwrap())
+        changed = parse_routes("".join(after), known_by_section=known)
+        self.assertThat(changed, Equals(parse_routes("".join(after))))
+        if isinstance(changed, Success):
+            self.assertThat(
+                list(changed.unwrap()),
+                Equals(list(parse_routes("".join(after)).unwrap())),
+            )
