--- a/bench/fake_peers.py
+++ b/bench/fake_peers.py
@@ -52,6 +52,7 @@
         is_link_cut: Returns whether messages from a sender to a receiver are lost.
         paused: Paused nodes, each with the event that is set when its pause ends.
         calls_by_path: Number of calls by path.
+        far_calls_by_path: Number of those to another failure domain, by path.
         traffic: Bytes of all nodes, including those that have ended.
     """
 
@@ -62,6 +63,7 @@
         self.is_link_cut: Callable[[str, str], bool] = lambda sender, receiver: False
         self.paused: dict[str, asyncio.Event] = {}
         self.calls_by_path: Counter[str] = Counter()
+        self.far_calls_by_path: Counter[str] = Counter()
         self.traffic = Traffic()
 
     async def _wait_until_resumed(self, name: str) -> None:
@@ -100,6 +102,8 @@
         """
         await self._wait_until_resumed(sender)
         self.calls_by_path[path] += 1
+        if self._is_far(sender, address):
+            self.far_calls_by_path[path] += 1
         try:
             async with asyncio.timeout(timeout_s):
                 answer = await self._deliver(sender, address, path, encode(message))
@@ -143,6 +147,18 @@
             )
         return answer
 
+    def _is_far(self, sender: str, address: Address) -> bool:
+        nodes = [
+            self.node_by_name.get(name)
+            for name in (sender, self.name_by_address.get(address, ""))
+        ]
+        domains = {
+            node.membership.directory.own_record.failure_domain
+            for node in nodes
+            if node is not None
+        }
+        return len(domains) > 1
+
     def _count_bytes(
         self, name: str, kind: str, *, sent: int = 0, received: int = 0
     ) -> None:
--- a/siskinlug/gossip.py
+++ b/siskinlug/gossip.py
@@ -24,6 +24,9 @@
 from siskinlug.round_trips import PUSH, send_message
 
 PUSH_FANOUT = 4
+# Most pushes stay in the failure domain of the sender, since traffic between domains is
+# expensive. One in four is enough: each domain sends as many as it has nodes.
+PUSH_FANOUT_FAR = 1
 # The first change is pushed at once; later ones are batched for this long.
 PUSH_COLLECT_S = 0.2
 PUSH_TIMEOUT_S = 1.0
@@ -62,7 +65,7 @@
             membership, summaries=summaries, records=records, urgent_payloads=names
         )
         if summaries or records or message.payloads:
-            for peer in sample_peers(membership, PUSH_FANOUT):
+            for peer in sample_push_peers(membership):
                 start_task(
                     membership,
                     send_message(
@@ -74,6 +77,17 @@
         await membership.sleep(PUSH_COLLECT_S)
 
 
+def sample_push_peers(membership: Membership) -> list[NodeRecord]:
+    """Return random peers for a push, most of them in this node's failure domain."""
+    own_domain = membership.directory.own_record.failure_domain
+    peers = sample_peers(membership, len(membership.directory.record_by_node))
+    near = [peer for peer in peers if peer.failure_domain == own_domain]
+    far = [peer for peer in peers if peer.failure_domain != own_domain]
+    far_count = max(PUSH_FANOUT_FAR, PUSH_FANOUT - len(near))
+    chosen = far[:far_count]
+    return chosen + near[: PUSH_FANOUT - len(chosen)]
+
+
 def make_ping(membership: Membership, receiver: RecordSummary | None) -> Gossip:
     """Build a ping or its response, with the changes that have most repeats left.
 
--- a/siskinlug/join.py
+++ b/siskinlug/join.py
@@ -78,10 +78,13 @@
 
 
 async def meet_unknown(membership: Membership, addresses: Iterable[Address]) -> None:
-    """Ping addresses that no known live node has, and sync with those that respond."""
-    live_addresses = {address_of(peer) for peer in membership.directory.live_records()}
+    """Ping addresses that no known live node has, and sync with those that respond.
+
+    Each sync may make further addresses known, so that two halves of a fleet that
+    started together need one sync and not one for each node.
+    """
     for address in _without_own_address(membership, addresses):
-        if tuple(address) in live_addresses:
+        if tuple(address) in _live_addresses(membership):
             continue
         answer = await ping_address(membership, address, None, fresh=True)
         if answer is not None:
@@ -116,6 +119,10 @@
     }
     for node, lost in membership.lost_by_node.items():
         address_by_node[node] = lost.address
-    live_addresses = {address_of(peer) for peer in membership.directory.live_records()}
+    live_addresses = _live_addresses(membership)
     seeds = [seed for seed in membership.seeds if tuple(seed) not in live_addresses]
     return [*address_by_node.items(), *((None, seed) for seed in seeds)]
+
+
+def _live_addresses(membership: Membership) -> set[Address]:
+    return {address_of(peer) for peer in membership.directory.live_records()}
