Let entries of a large fleet try doubtful targets, and spend the burst at the first start

Cause: an entry's share of the retry burst is 1.1 at 234 nodes, and a trial needed a credit of 1.5; after the first start the share grew only over ten seconds.

Change: the credit that a trial needs is at most the entry's burst, and the platform's bootstrap flag says that no earlier process has spent the burst.

--- a/siskinlug/retries.py
+++ b/siskinlug/retries.py
@@ -45,6 +45,9 @@
         Reason.BAD_REQUEST,
     }
 )
+# Retry credit required for a trial, so that the last retries are kept for failures. At
+# an entry whose whole burst is smaller, the burst takes its place.
+MIN_TRIAL_CREDIT = 1.5
 # A request is hedged after this multiple of its route's median service time.
 HEDGE_RATIO = 10.0
 
@@ -62,6 +65,8 @@
             would help most.
         window_s: Time in which ``burst`` may be spent once, in seconds; 0 if a spent
             burst is restored by ``ratio`` only.
+        full_at_start: Whether the whole burst may be spent at once after a start, since
+            no earlier process can have spent it.
     """
 
     ratio: float = 0.1
@@ -69,6 +74,7 @@
     earned_by_requests: bool = False
     window_s: float = 0.0
     hedge_ratio: float = 0.0
+    full_at_start: bool = False
 
 
 class RetryBudget:
@@ -123,7 +129,7 @@
 
     In any window an entry spends no more than its share of the burst plus ``ratio``
     times its requests. What an earlier process spent is unknown after a start, so the
-    burst becomes available gradually over the first window.
+    burst becomes available gradually over the first window, unless there was none.
 
     Attributes:
         spent: Retries spent since the start.
@@ -159,7 +165,11 @@
                 times.popleft()
         if allowance.burst <= self._min_burst or self._min_burst_at < window_start_at:
             self._min_burst, self._min_burst_at = allowance.burst, now
-        elapsed_share = min((now - self.started_at) / allowance.window_s, 1.0)
+        elapsed_share = (
+            1.0
+            if allowance.full_at_start
+            else min((now - self.started_at) / allowance.window_s, 1.0)
+        )
         earned = allowance.ratio * len(self._request_times)
         return self._min_burst * elapsed_share + earned - len(self._retry_times)
 
@@ -269,6 +279,19 @@
     return attempt <= route.retries and budget.try_spend()
 
 
+def may_trial(budget: Budget, allowance: RetryAllowance) -> bool:
+    """Return whether a request may be sent to a target that is likely to fail it.
+
+    The share of an entry shrinks as the fleet grows, and entries of a large fleet must
+    not stop looking for targets that work again.
+
+    Args:
+        budget: The pool's retry budget.
+        allowance: The limits of this entry.
+    """
+    return budget.credit >= max(1.0, min(MIN_TRIAL_CREDIT, allowance.burst))
+
+
 def hedge_after_s(
     route: Route, *, long_work: bool, usual_s: float, ratio: float = HEDGE_RATIO
 ) -> float | None:
--- a/siskinlug/target_selection.py
+++ b/siskinlug/target_selection.py
@@ -30,6 +30,7 @@
     TargetState,
     select_min_cost,
 )
+from siskinlug.retries import may_trial
 
 # Polling more targets costs datagrams for little gain: the best of eight is rarely much
 # worse than the best of all.
@@ -49,8 +50,6 @@
 # Size of a request and its response on a route that has not been used yet. It is large
 # enough to prefer near targets, since the response may be large.
 DEFAULT_MESSAGE_BYTES = 30_000.0
-# Retry credit required for a trial, so that the last retries are kept for failures.
-MIN_TRIAL_CREDIT = 1.5
 # A request that waits in a target's queue for longer than WAIT_LIMIT_BASE_S plus
 # WAIT_LIMIT_RATIO times the reported wait is placed again, so that it does not stay in
 # a queue that formed before other targets were known or free.
@@ -175,7 +174,7 @@
         may_trial=request.route.idempotent
         and sum(outcome.may_have_run for outcome in outcomes) < request.route.retries
         and budget is not None
-        and budget.credit >= MIN_TRIAL_CREDIT,
+        and may_trial(budget, entry.retry_allowance()),
         objective_s=request.objective_s,
         remaining_s=request.started_at + request.objective_s - entry.monotonic(),
         usual_service_time_s=usual_service_time_s(entry, request),
--- a/tests/test_load_rules.py
+++ b/tests/test_load_rules.py
@@ -21,6 +21,7 @@
     make_window_budget,
     may_hedge,
     may_retry,
+    may_trial,
     try_spend,
 )
 from siskinlug.service_times import (
@@ -232,6 +233,40 @@
         now = 5.1
         self.assertThat([try_spend(budget) for _ in range(3)].count(True), Equals(2))
 
+    def test_first_start_has_the_burst_at_once(self) -> None:
+        """Load pattern: a fleet starts for the first time and traffic with it."""
+        allowance = RetryAllowance(
+            0.0, 1.1, earned_by_requests=True, window_s=10.0, full_at_start=True
+        )
+        budget = make_window_budget(
+            lambda: allowance, monotonic=_clock, started_at=_clock()
+        )
+        self.assertThat([try_spend(budget) for _ in range(2)], Equals([True, False]))
+
+    def test_entries_of_a_large_fleet_may_try_unhealthy_targets(self) -> None:
+        """Load pattern: 234 entries share 258 retries in ten seconds.
+
+        None of them ever has the credit that an entry of a small fleet keeps back.
+        """
+        for nodes, spent, expected in (
+            (24, 0, True),
+            (24, 1, False),
+            (234, 0, True),
+            (234, 1, False),
+            (430, 0, False),
+        ):
+            allowance = RetryAllowance(
+                0.0, 258 / nodes, earned_by_requests=True, window_s=10.0
+            )
+            budget = make_window_budget(
+                lambda allowance=allowance: allowance,  # type: ignore[misc]
+                monotonic=_clock,
+                started_at=-60.0,
+            )
+            for _ in range(spent if nodes > 24 else 10 * spent):
+                try_spend(budget)
+            self.assertThat(may_trial(budget, allowance), Equals(expected), str(nodes))
+
     def test_partitioned_node_keeps_its_share_of_the_burst(self) -> None:
         """Guards against a burst of fleet size at each node of a partition."""
         now, burst = 100.0, 2.0
