Print load reports in the output of explain

A cell that lists text and numbers was joined as text only, a TypeError as soon as a candidate had a load report. The new test failed with it.

--- a/siskinlug/cli.py
+++ b/siskinlug/cli.py
@@ -530,7 +530,7 @@
     if isinstance(value, list | tuple) and not isinstance(value[0], str):
         return f"{len(value)}"
     if isinstance(value, list | tuple):
-        value = " ".join(value)
+        value = " ".join(map(str, value))
     text = str(value)
     if len(text) > MAX_CELL_CHARS:
         text = text[: MAX_CELL_CHARS - 1] + "…"
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -16,7 +16,7 @@
 from tornado.web import Application, RequestHandler
 from typer.testing import CliRunner
 
-from siskinlug.cli import ExitCode, app
+from siskinlug.cli import ExitCode, _format_cell, app
 from standins.log_service import LogState, serve
 
 EXAMPLE = Path(__file__).resolve().parent.parent / "examples" / "robe-hire"
@@ -156,3 +156,10 @@
             self.assertThat(shown.stdout, Contains("n2"))
             gone = _run("show", "nodes", "--node", "http://127.0.0.1:1")
             self.assertThat(gone.exit_code, Equals(ExitCode.UNREACHABLE))
+
+
+class CellTest(testtools.TestCase):
+    def test_load_report_of_a_candidate_is_one_cell(self) -> None:
+        """Guards against ``explain`` that fails once a candidate has a load report."""
+        report = ["i-1", 4, 2, 0, 20.0, 20.0, 2, 0.0]
+        self.assertThat(_format_cell(report), Contains("i-1 4 2"))
