Refuse a key that cannot be claimed as may-have-run

Cause: while the log is away, a repeat whose home has moved was refused as not-run although the first request with the key had run; a caller may read that as leave to book anew. Change: the verdict of key_unavailable is may-have-run; status, Retry-After and the rule to send the same key again stay. Four expectations of test_claims said not-run and were wrong for the same reason; they now demand may-have-run. The new test (home moved, log down, first request ran) failed with not-run.

--- a/siskinlug/claim_messages.py
+++ b/siskinlug/claim_messages.py
@@ -2,7 +2,7 @@
 
 from typing import NotRequired, TypedDict
 
-from siskinlug.verdict import Reason, Refusal, not_run
+from siskinlug.verdict import Reason, Refusal, may_have_run
 
 # Maximum time that an entry waits for a claim, and a home node for its append.
 CLAIM_TIMEOUT_S = 3.0
@@ -77,8 +77,12 @@
 
 
 def unavailable_refusal(detail: str) -> Refusal:
-    """Return the refusal of a claim that cannot be decided now."""
-    return not_run(Reason.KEY_UNAVAILABLE, detail, retry_after_s=RETRY_AFTER_S)
+    """Return the refusal of a claim that cannot be decided now.
+
+    This request was not run, but an earlier one with the same key may have been.
+    """
+    refusal = may_have_run(Reason.KEY_UNAVAILABLE, detail)
+    return refusal._replace(retry_after_s=RETRY_AFTER_S)
 
 
 def refused_answer(refusal: Refusal) -> ClaimsAnswer:
--- a/siskinlug/claims.py
+++ b/siskinlug/claims.py
@@ -194,9 +194,8 @@
     Returns:
         The claim, which the caller must complete in any case, or a refusal. Its verdict
         is about all requests with this key and fingerprint: a repeat of one that still
-        runs or has run is refused as ``MAY_HAVE_RUN`` or ``RAN``. The exception is
-        ``KEY_UNAVAILABLE``, which is ``NOT_RUN`` although nothing is known of earlier
-        requests.
+        runs or has run is refused as ``MAY_HAVE_RUN`` or ``RAN``, and so is one whose
+        key is ``KEY_UNAVAILABLE``, since nothing is known of earlier requests.
     """
     request = ClaimRequest(
         key=key,
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -352,7 +352,7 @@
             )
 
         self.assertThat(
-            _run(scenario), Equals((Verdict.NOT_RUN, Reason.KEY_UNAVAILABLE))
+            _run(scenario), Equals((Verdict.MAY_HAVE_RUN, Reason.KEY_UNAVAILABLE))
         )
 
     def test_a_planned_stop_writes_outcomes_first(self) -> None:
@@ -400,7 +400,7 @@
 
         self.assertThat(
             _run(scenario),
-            Equals([(Verdict.NOT_RUN, Reason.KEY_UNAVAILABLE), "granted"]),
+            Equals([(Verdict.MAY_HAVE_RUN, Reason.KEY_UNAVAILABLE), "granted"]),
         )
 
     def test_a_claim_that_arrives_after_its_release_is_refused(self) -> None:
@@ -416,7 +416,22 @@
 
         self.assertThat(
             _run(scenario),
-            Equals([(Verdict.NOT_RUN, Reason.KEY_UNAVAILABLE), "granted"]),
+            Equals([(Verdict.MAY_HAVE_RUN, Reason.KEY_UNAVAILABLE), "granted"]),
+        )
+
+    def test_repeat_at_a_new_home_without_the_log_is_not_called_not_run(self) -> None:
+        """Guards against a caller who is told that what ran before has not run."""
+
+        async def scenario(fleet: Fleet) -> Any:
+            first = await fleet.claim("n1", _KEYS[0], "c1")
+            await complete_claim(first.unwrap(), Verdict.RAN, 200, (), None)
+            await asyncio.sleep(0.1)
+            fleet.home_by_view = dict.fromkeys(_NODES, "n2")
+            fleet.log.down = True
+            return _verdict(await fleet.claim("n1", _KEYS[0], "c2"))
+
+        self.assertThat(
+            _run(scenario), Equals((Verdict.MAY_HAVE_RUN, Reason.KEY_UNAVAILABLE))
         )
 
     def test_claims_without_the_log(self) -> None:
@@ -444,7 +459,7 @@
             _run(scenario),
             Equals(
                 [
-                    (Verdict.NOT_RUN, Reason.KEY_UNAVAILABLE),
+                    (Verdict.MAY_HAVE_RUN, Reason.KEY_UNAVAILABLE),
                     "granted",
                     (Verdict.MAY_HAVE_RUN, Reason.KEY_CLAIMED),
                     (Verdict.RAN, Reason.KEY_CLAIMED),
