Give each untested target one request after the start of a fleet

Change: owners report whether they have observed anything of a target; an idle untested one takes one request of any kind, and is preferred while half or more of the polled targets are untested. At most one request a target is risked.

Test: 300 bookings over 85 unknown targets reach more than the floor share; it fails without the preference.

--- a/siskinlug/health_estimate.py
+++ b/siskinlug/health_estimate.py
@@ -65,6 +65,8 @@
     def __init__(self, *, monotonic: Callable[[], float]) -> None:
         self.monotonic = monotonic
         self.health = BASELINE_HEALTH
+        # Whether no observation was made yet.
+        self.untested = True
         self.updated_at = monotonic()
         # Until this time an unhealthy target gets no further trial.
         self.next_trial_at = -math.inf
@@ -83,11 +85,13 @@
         wants_trial: Whether an unhealthy target may be tried with a request that is
             safe to repeat.
         shed: Share of requests that it sheds without running them, 0 to 1.
+        untested: Whether nothing was observed of it since its node started.
     """
 
     health: float
     wants_trial: bool
     shed: float
+    untested: bool = False
 
 
 def make_health_estimate(*, monotonic: Callable[[], float]) -> HealthEstimate:
@@ -113,6 +117,7 @@
     good, bad = health * if_healthy, (1.0 - health) * if_failing
     estimate.health = min(max(good / (good + bad), _HEALTH_MIN), 1.0 - _HEALTH_MIN)
     estimate.updated_at = estimate.monotonic()
+    estimate.untested = False
     if observation is Observation.WORKS:
         # After a successful trial, the next one may follow at once.
         estimate.next_trial_at = -math.inf
@@ -123,7 +128,10 @@
     """Return the health of the target as reported to entries."""
     wants_trial = estimate.monotonic() >= estimate.next_trial_at
     return HealthSummary(
-        current_health(estimate), wants_trial, current_shed_share(estimate)
+        current_health(estimate),
+        wants_trial,
+        current_shed_share(estimate),
+        estimate.untested,
     )
 
 
--- a/siskinlug/load_poll.py
+++ b/siskinlug/load_poll.py
@@ -36,6 +36,7 @@
         slots: Number of slots.
         wait_s: Expected wait of the polling request, in seconds.
         shed: Share of requests that the target sheds without running them.
+        untested: Whether the owner has observed nothing of the target yet.
     """
 
     target: str
@@ -45,6 +46,7 @@
     slots: int
     wait_s: float
     shed: float = 0.0
+    untested: bool = False
 
 
 class QueuePosition(msgspec.Struct, array_like=True, frozen=True):
--- a/siskinlug/owner.py
+++ b/siskinlug/owner.py
@@ -221,6 +221,7 @@
         load.slots,
         round(wait_s, 4),
         round(summary.shed, 3),
+        summary.untested,
     )
 
 
--- a/siskinlug/placement_cost.py
+++ b/siskinlug/placement_cost.py
@@ -34,6 +34,12 @@
 UTILIZATION_COST = 0.02
 
 
+# A request that is not idempotent waits for a target with at least this health.
+MIN_HEALTH_NOT_IDEMPOTENT = 0.85
+# Minimum health for the same request once its share of waiting time is used up.
+MIN_HEALTH_AFTER_WAIT = 0.1
+
+
 class TargetState(NamedTuple):
     """State of a target as reported by its owner in the current poll.
 
@@ -46,6 +52,7 @@
         wait_s: Expected wait of a new request, in seconds.
         shed: Share of requests that the target sheds without running them.
         refusals: How often the target has refused this request before.
+        untested: Whether its owner has observed nothing of it yet.
     """
 
     candidate: Candidate
@@ -56,6 +63,7 @@
     wait_s: float
     shed: float = 0.0
     refusals: int = 0
+    untested: bool = False
 
 
 class RequestProfile(NamedTuple):
@@ -117,6 +125,27 @@
     return cost
 
 
+def is_healthy_enough(
+    state: TargetState, *, idempotent: bool, after_wait: bool
+) -> bool:
+    """Return whether to place a request at the target now or to wait for another one.
+
+    After the start of a fleet no target is known to be healthy. If all requests that
+    are not idempotent waited then, most targets would stay idle. One request for each
+    target is risked instead, and its outcome is known at once.
+
+    Args:
+        state: The target with the lowest cost.
+        idempotent: Whether the request may be run more than once.
+        after_wait: Whether the request has used up its share of waiting time.
+    """
+    if idempotent or _is_idle_untested(state):
+        return True
+    return state.health >= (
+        MIN_HEALTH_AFTER_WAIT if after_wait else MIN_HEALTH_NOT_IDEMPOTENT
+    )
+
+
 def select_min_cost(
     states: Iterable[TargetState], profile: RequestProfile
 ) -> ScoredTarget | None:
@@ -132,6 +161,7 @@
     Returns:
         The target and its cost, or ``None`` if no target accepts the request now.
     """
+    states = _untested_if_most(list(states))
     # While a trial runs at an unhealthy target, its owner refuses all other requests.
     accepting = [s for s in states if s.health >= TRIAL_THRESHOLD or s.wants_trial]
     if not accepting:
@@ -149,6 +179,19 @@
     return min(with_retries, key=lambda scored: scored.cost)
 
 
+def _untested_if_most(states: list[TargetState]) -> list[TargetState]:
+    """Return only the idle untested targets if these are half of all or more.
+
+    Otherwise the first few targets that prove healthy would get all requests.
+    """
+    untested = [state for state in states if _is_idle_untested(state)]
+    return untested if 2 * len(untested) >= len(states) else states
+
+
+def _is_idle_untested(state: TargetState) -> bool:
+    return state.untested and state.in_use == 0
+
+
 def _score_with_retry(
     scored: ScoredTarget, profile: RequestProfile, retry_cost: float
 ) -> ScoredTarget:
--- a/siskinlug/target_selection.py
+++ b/siskinlug/target_selection.py
@@ -28,6 +28,7 @@
     RequestProfile,
     ScoredTarget,
     TargetState,
+    is_healthy_enough,
     select_min_cost,
 )
 from siskinlug.retries import may_trial
@@ -40,10 +41,6 @@
 POLL_AGAIN_PAUSE_S = 0.12
 # Share of the objective that a request may spend waiting for a healthy target.
 OBJECTIVE_WAIT_SHARE = 0.5
-# A request that is not idempotent waits for a target with at least this health.
-MIN_HEALTH_NOT_IDEMPOTENT = 0.85
-# Minimum health for the same request once its share of waiting time is used up.
-MIN_HEALTH_AFTER_WAIT = 0.1
 # By how much the health of a target may fall between the poll and the arrival of the
 # request before the owner refuses it.
 HEALTH_TOLERANCE = 0.2
@@ -128,8 +125,10 @@
                 else None
             )
             now = entry.monotonic()
-            if selected is not None and _is_healthy_enough(
-                selected, request, now >= relax_health_at
+            if selected is not None and is_healthy_enough(
+                selected.state,
+                idempotent=request.route.idempotent,
+                after_wait=now >= relax_health_at,
             ):
                 health = selected.state.health
                 min_health = max(health - HEALTH_TOLERANCE, 0.0)
@@ -150,16 +149,6 @@
     return select_target
 
 
-def _is_healthy_enough(
-    selected: ScoredTarget, request: Request, after_wait: bool
-) -> bool:
-    if request.route.idempotent:
-        return True
-    return selected.state.health >= (
-        MIN_HEALTH_AFTER_WAIT if after_wait else MIN_HEALTH_NOT_IDEMPOTENT
-    )
-
-
 async def _poll_and_select(
     entry: Entry,
     polls: LoadPolls,
@@ -277,4 +266,5 @@
         wait_s=report.wait_s,
         shed=report.shed,
         refusals=refusals[candidate.target],
+        untested=report.untested,
     )
--- a/tests/test_placement_cost.py
+++ b/tests/test_placement_cost.py
@@ -1,13 +1,16 @@
 """Selection of the target with the lowest cost, one load pattern per test."""
 
+from random import Random
+
 import testtools
-from testtools.matchers import Equals, Is
+from testtools.matchers import Equals, GreaterThan, Is, Not
 
 from siskinlug.load_balancing import Candidate
 from siskinlug.placement_cost import (
     RequestProfile,
     ScoredTarget,
     TargetState,
+    is_healthy_enough,
     select_min_cost,
 )
 
@@ -39,9 +42,12 @@
     wait_s: float = 0.0,
     distance: int = 2,
     shed: float = 0.0,
+    untested: bool = False,
 ) -> TargetState:
     candidate = Candidate(target, f"node-of-{target}", distance, 1.0, 5)
-    return TargetState(candidate, health, wants_trial, in_use, 5, wait_s, shed)
+    return TargetState(
+        candidate, health, wants_trial, in_use, 5, wait_s, shed, untested=untested
+    )
 
 
 def _target_id(scored: ScoredTarget | None) -> str | None:
@@ -142,3 +148,56 @@
             _state("less-healthy", health=0.8),
         ]
         self.assertThat(_target_id(select_min_cost(states, BOOKING)), Equals("queue"))
+
+
+class FleetStartTest(testtools.TestCase):
+    """Load pattern: bookings arrive while no target of the fleet is known yet."""
+
+    def test_first_bookings_are_spread_over_the_targets(self) -> None:
+        """Guards against targets that stay idle while bookings wait for a better one.
+
+        Each owner learns from the first request at its target, before the next poll.
+        """
+        random = Random(1)
+        state_by_target = {
+            f"t{n}": _state(f"t{n}", health=0.7, in_use=0, untested=True)
+            for n in range(85)
+        }
+        placed: set[str] = set()
+        # 2 s of 150 bookings a second; each polls eight targets.
+        for _ in range(300):
+            polled = random.sample(list(state_by_target.values()), 8)
+            selected = select_min_cost(polled, BOOKING)
+            assert selected is not None
+            if not is_healthy_enough(
+                selected.state, idempotent=False, after_wait=False
+            ):
+                continue
+            target = selected.state.candidate.target
+            placed.add(target)
+            health = 0.95 if random.random() < 0.7 else 0.3
+            if state_by_target[target].untested:
+                state_by_target[target] = _state(target, health=health)
+        # The floor of the users' rule on idle targets.
+        self.assertThat(len(placed) / 85, GreaterThan(0.7))
+
+    def test_booking_waits_while_an_untested_target_has_its_first_request(self) -> None:
+        busy = _state("busy", health=0.7, in_use=1, untested=True)
+        idle = _state("idle", health=0.7, in_use=0, untested=True)
+        known = _state("known", health=0.7, in_use=0)
+        placed = [
+            is_healthy_enough(state, idempotent=False, after_wait=False)
+            for state in (busy, idle, known)
+        ]
+        self.assertThat(placed, Equals([False, True, False]))
+
+    def test_new_target_beside_known_ones_gets_no_booking(self) -> None:
+        """Guards against bookings that are risked when most targets are known."""
+        states = [
+            _state("new", health=0.7, in_use=0, untested=True),
+            _state("known", health=0.98),
+            _state("also-known", health=0.98),
+        ]
+        self.assertThat(
+            _target_id(select_min_cost(states, BOOKING)), Not(Equals("new"))
+        )
