Read the lines before the first section in linear time

The pattern for leading comments could divide empty lines in exponentially many ways; 200 empty lines before a fault hung the check (the new test ran into its 15 s limit).

--- a/siskinlug/tables.py
+++ b/siskinlug/tables.py
@@ -28,7 +28,7 @@
 # A bracket in the first column always begins a section, also after a value of several
 # lines.
 _SECTION_START = re.compile(r"^(?=\[)", re.MULTILINE)
-_COMMENTS = re.compile(r"(?:\s*(?:[#;].*)?\n)*")
+_COMMENTS = re.compile(r"(?:[ \t]*(?:[#;].*)?\n)*")
 
 
 class Route(NamedTuple):
--- a/tests/test_tables.py
+++ b/tests/test_tables.py
@@ -205,6 +205,15 @@
         self.assertThat(changed.unwrap()["r7"].timeout_s, Equals(9))
         self.assertThat(changed, Equals(parse_routes(after)))
 
+    def test_many_empty_lines_before_a_fault_are_read_in_linear_time(self) -> None:
+        """Guards against a pattern that tries every division of the empty lines."""
+        known = routes_by_section(
+            "[a]\npool = p\n", {"a": Route("a", "*", "/", (), "p")}
+        )
+        text = "\n" * 200 + "text\n[a]\npool = p\n"
+        changed = parse_routes(text, known_by_section=known)
+        self.assertThat(changed, Equals(parse_routes(text)))
+
     @given(
         before=st.lists(st.sampled_from("abcdefgh"), unique=True),
         after=st.lists(
