Log and count what targets say of themselves in their responses

The logs did not show the headers Server-Limit and Server-Leaving, so they could not tell whether a limit was known.

--- a/siskinlug/dialect.py
+++ b/siskinlug/dialect.py
@@ -18,6 +18,9 @@
         expected_target: Id of the target that a request is meant for. Another target
             at the same address must refuse the request.
         not_run: Set by a target on a response to a request that it did not run.
+        rate_limit: Set by a target in need: the requests per second that it takes from
+            all callers together, for as long as its responses say so.
+        leaving: Set to 1 by a target that is leaving, in all its responses.
         targets_echo_request_id: Whether targets echo the request id, so that a
             response to another request is detected.
         forwarded_answer_headers: Headers of responses that are forwarded although
@@ -37,6 +40,8 @@
     target_wait_ms: str = "X-Request-Deadline-Ms"
     expected_target: str = ""
     not_run: str = "X-Shed"
+    rate_limit: str = "Server-Limit"
+    leaving: str = "Server-Leaving"
     targets_echo_request_id: bool = False
     forwarded_answer_headers: frozenset[str] = frozenset()
     adds_forwarding_headers: bool = True
--- a/siskinlug/metrics.py
+++ b/siskinlug/metrics.py
@@ -24,6 +24,7 @@
         attempts: Attempts sent to targets, by route and outcome.
         retries: Attempts after the first, by pool.
         limits: Hits of the limits of a port, by port and limit.
+        signals: Signals that own targets begin or end in their responses, by signal.
         duration: Seconds from the head of a request to the end of its response, by
             route.
         in_flight: Requests in progress.
@@ -34,6 +35,7 @@
     attempts: Counter
     retries: Counter
     limits: Counter
+    signals: Counter
     duration: Histogram
     in_flight: UpDownCounter
 
@@ -52,6 +54,7 @@
         attempts=meter.create_counter("siskinlug.attempts", unit="1"),
         retries=meter.create_counter("siskinlug.retries", unit="1"),
         limits=meter.create_counter("siskinlug.limits", unit="1"),
+        signals=meter.create_counter("siskinlug.target.signals", unit="1"),
         duration=meter.create_histogram("siskinlug.request.duration", unit="s"),
         in_flight=meter.create_up_down_counter("siskinlug.in_flight", unit="1"),
     )
--- a/siskinlug/node.py
+++ b/siskinlug/node.py
@@ -174,6 +174,7 @@
             monotonic=self.monotonic,
             dialect=options.dialect,
             estimates_health=options.health_policy == "belief",
+            count_signal=lambda signal: self.metrics.signals.add(1, {"signal": signal}),
         )
         self.polls = make_polls(
             partial(report_target, self.owner), token=settings.token
--- a/siskinlug/owner.py
+++ b/siskinlug/owner.py
@@ -66,6 +66,7 @@
     resolve_reset,
     run_alone_if_suspect,
 )
+from siskinlug.target_signals import TargetSignals, read_signals
 from siskinlug.verdict import Reason, Refusal, Verdict, may_have_run, not_run
 
 # Failing targets return an error within a few milliseconds. A later error often comes
@@ -141,6 +142,8 @@
         probe: Probes a target over a new connection; returns whether it passed.
         resets: Reset connections that may turn out to be crashes.
         runs_by_target: Running requests of each target.
+        signals_by_target: Signals in the latest response of each target.
+        count_signal: Counts a signal that a target begins or ends, by its name.
     """
 
     def __init__(
@@ -156,6 +159,7 @@
         monotonic: Callable[[], float],
         dialect: Dialect = DEFAULT_DIALECT,
         estimates_health: bool = False,
+        count_signal: Callable[[str], object] = lambda _signal: None,
     ) -> None:
         self.dialect = dialect
         self.estimates_health = estimates_health
@@ -170,6 +174,8 @@
         self.probe = probe
         self.resets = PendingResets(monotonic=monotonic)
         self.runs_by_target: dict[str, TargetRuns] = {}
+        self.signals_by_target: dict[str, TargetSignals] = {}
+        self.count_signal = count_signal
 
 
 class _Run(NamedTuple):
@@ -611,6 +617,7 @@
         if isinstance(result, Success):
             answer = result.unwrap()
             answer_id = answer.headers.get(dialect.request_id)
+            signals = read_signals(dialect, answer.headers)
             keep = {*dialect.forwarded_answer_headers, dialect.not_run}
             drop_headers_with_prefix(answer.headers, "Siskinlug-", keep=keep)
             if dialect.targets_echo_request_id and not _belongs_to_request(
@@ -625,9 +632,31 @@
                 # Without a length, a truncated response would look complete.
                 yield Failure(ExchangeFailure(True, "malformed"))
                 return
+            _observe_signals(run, signals)
         yield result
 
 
+def _observe_signals(run: _Run, signals: TargetSignals) -> None:
+    """Log and count the signals that begin, change or end with a response."""
+    owner, target = run.owner, run.request.target
+    before = owner.signals_by_target.get(target, TargetSignals())
+    owner.signals_by_target[target] = signals
+    if signals == before:
+        return
+    log_event(
+        "target_signals",
+        target=target,
+        request_id=run.request_id,
+        limit_per_s=signals.limit_per_s,
+        limit_per_s_before=before.limit_per_s,
+        leaving=signals.leaving,
+    )
+    if signals.names_limit != before.names_limit:
+        owner.count_signal("limited" if signals.names_limit else "limit_ended")
+    if signals.leaving and not before.leaving:
+        owner.count_signal("leaving")
+
+
 def _record_answer(
     run: _Run, first_byte_wait: FirstByteWait, answer: Answer, service_s: float
 ) -> None:
