Keep the limit that a target names, and stay away from one that says it leaves

Callers saw nothing; a target in need got 12 to 36 requests in 4 s where its limit of 1/s allows 11. Cause: the headers Server-Limit and Server-Leaving only passed through the owner. Ruled out: shed requests (none), the stop of a node (breaks before it).

Change: the owner, which sends every request to its target, keeps a token bucket at the named rate. It is part of both admission queues, so retries, hedges, calls of targets and probes are counted, expected waits include it, and what it cannot serve is refused at once as target_limited, not run. A limit is no observation of health. It ends with a response without it to a request sent after it was named. Entries remember what they passed on, so a restarted owner learns the limit from the first attempt of an entry that knows it, and no entry sends to a target whose leaving it has passed on. A permit older than 0.5 s is not used, since the process was paused.

The stub entry of test_stopping_entry gets the new attribute.

--- a/siskinlug/admission.py
+++ b/siskinlug/admission.py
@@ -17,6 +17,7 @@
 from returns.result import Failure, Result, Success
 
 from siskinlug.load import LoadReport
+from siskinlug.rate_limit import RateLimit, make_rate_limit
 from siskinlug.service_times import Quantile
 from siskinlug.verdict import Reason, Refusal, not_run
 
@@ -194,9 +195,11 @@
 
     Attributes:
         closed: Reason for refusing all requests, ``None`` while requests are admitted.
+        rate_limit: Limit that the target has named, if any.
     """
 
     closed: Reason | None
+    rate_limit: RateLimit
 
     async def enter(self, ticket: Ticket) -> "Result[Slot, Refusal]":
         """Wait for a slot."""
@@ -212,6 +215,9 @@
     def refuse_queued(self, reason: Reason) -> None:
         """Refuse all queued tickets as not run."""
 
+    def apply_rate_limit(self) -> None:
+        """Apply a changed limit, and refuse tickets that it leaves too little time."""
+
     def report(self) -> LoadReport:
         """Return the load report."""
 
@@ -220,14 +226,27 @@
 
 
 class Slot:
-    """A slot of the target, held while one attempt runs."""
+    """A slot of the target, held while one attempt runs.
+
+    Attributes:
+        started: When the slot was granted, monotonic seconds.
+        charged: Whether the request counts against a rate limit of the target.
+        sent: Whether the request was sent; if not, it is not charged in the end.
+    """
 
     def __init__(
-        self, admission: "AdmissionControl", ticket: Ticket, started: float
+        self,
+        admission: "AdmissionControl",
+        ticket: Ticket,
+        started: float,
+        *,
+        charged: bool = False,
     ) -> None:
         self.admission = admission
         self.ticket = ticket
         self.started = started
+        self.charged = charged
+        self.sent = False
         self._held = True
 
     def record_outcome(self, status: int | None, service_s: float, shed: bool) -> None:
@@ -244,6 +263,8 @@
         """Free the slot; further calls do nothing."""
         if self._held:
             self._held = False
+            if self.charged and not self.sent:
+                self.admission.rate_limit.refund()
             self.admission.release(self)
 
 
@@ -259,6 +280,7 @@
         long_in_use: Slots occupied by long work.
         count: Refusals by reason code, and the number ``admitted``.
         closed: Reason for refusing all requests, ``None`` while requests are admitted.
+        rate_limit: Limit that the target has named, if any.
     """
 
     def __init__(
@@ -270,7 +292,9 @@
         queue_wait_s: float,
         monotonic: Callable[[], float],
         random: Random,
+        rate_limit: RateLimit,
     ) -> None:
+        self.rate_limit = rate_limit
         self.target = target
         self.slots = slots
         self.queue = queue
@@ -342,10 +366,12 @@
         """Return the wait behind ``ahead`` tickets of one class, in seconds."""
         if ahead == 0 and self._may_start(long_work):
             return 0.0
+        limit_s = self.rate_limit.ready_in_s(ahead)
         available_slots = self.slot_limit - (
             self.reserved_slots if long_work else self.long_in_use
         )
-        return (ahead + 1) * self._mean_s_by_class[long_work] / max(available_slots, 1)
+        mean_s = self._mean_s_by_class[long_work]
+        return max((ahead + 1) * mean_s / max(available_slots, 1), limit_s)
 
     def max_wait_s(self) -> float:
         """Return the maximum wait in the queue at present, in seconds."""
@@ -390,6 +416,7 @@
         queue.push(waiting)
         max_wait_s = min(self.queue_wait_s, max(ticket.deadline - now, 0.0))
         waiting.timer = loop.call_later(max_wait_s, self._expire, waiting)
+        self.rate_limit.wake_when_ready(self.dispatch)
         try:
             return await waiting.future
         except asyncio.CancelledError:
@@ -451,6 +478,21 @@
                 self._resolve(waiting, Failure(refusal))
             else:
                 self._resolve(waiting, Success(self._start(waiting.ticket, now)))
+        if self.queued:
+            self.rate_limit.wake_when_ready(self.dispatch)
+
+    def apply_rate_limit(self) -> None:
+        """Apply a changed limit, and refuse tickets that it leaves too little time."""
+        now = self.monotonic()
+        ahead = 0
+        for queue in self._queue_by_class.values():
+            for waiting in list(queue.waiting):
+                ticket, wait_s = waiting.ticket, self.rate_limit.ready_in_s(ahead)
+                if now + wait_s + self._usual_service_s(ticket) <= ticket.deadline:
+                    ahead += 1
+                elif queue.remove(waiting):
+                    self._resolve(waiting, Failure(self._limited_refusal(wait_s)))
+        self.dispatch()
 
     def refuse_queued(self, reason: Reason) -> None:
         """Refuse all queued tickets as not run."""
@@ -463,6 +505,8 @@
 
     def _may_start(self, long_work: bool) -> bool:
         """Whether a slot is available to this class of work."""
+        if self.rate_limit.ready_in_s() > 0:
+            return False
         if self.in_use >= self.slot_limit:
             # The limit may fall below the slots that long work already occupies. One
             # request of short work may still start.
@@ -475,7 +519,7 @@
         self.in_use += 1
         self.long_in_use += ticket.long_work
         self.count["admitted"] += 1
-        return Slot(self, ticket, now)
+        return Slot(self, ticket, now, charged=self.rate_limit.take())
 
     def _next_queue_to_start(self) -> _FairQueue | None:
         """Return the queue whose first ticket may start next, if any."""
@@ -498,7 +542,10 @@
             return not_run(self.closed)
         now = self.monotonic()
         wait_s = self.expected_wait_s(ticket)
+        limited = wait_s > 0 and wait_s <= self.rate_limit.ready_in_s(self.queued)
         if now + wait_s + self._usual_service_s(ticket) > ticket.deadline:
+            if limited:
+                return self._limited_refusal(wait_s)
             return not_run(
                 Reason.DEADLINE, "cannot finish before the deadline at this target"
             )
@@ -516,6 +563,13 @@
             retry_after_s=self._retry_after_s(wait_s),
         )
 
+    def _limited_refusal(self, wait_s: float) -> Refusal:
+        return not_run(
+            Reason.TARGET_LIMITED,
+            f"{wait_s:.3f} s until the target's limit allows the request",
+            retry_after_s=self._retry_after_s(wait_s),
+        )
+
     def _evict_for(self, ticket: Ticket, queue: _FairQueue) -> bool:
         """Evict a queued ticket if the arriving one takes precedence over it.
 
@@ -676,6 +730,7 @@
     queue_wait_s: float,
     monotonic: Callable[[], float],
     random: Random | None = None,
+    rate_limit: RateLimit | None = None,
 ) -> Admission:
     """Make the admission control of one target.
 
@@ -688,6 +743,7 @@
         queue_wait_s: Maximum wait in seconds.
         monotonic: Clock in seconds.
         random: Source of the jitter of Retry-After.
+        rate_limit: Limit that the target names; none if ``None``.
     """
     return Admission(
         target=target,
@@ -696,6 +752,7 @@
         queue_wait_s=queue_wait_s,
         monotonic=monotonic,
         random=random or Random(),
+        rate_limit=rate_limit or make_rate_limit(monotonic=monotonic),
     )
 
 
@@ -734,6 +791,7 @@
     expired lease.
     """
     admission.closed = reason
+    admission.rate_limit.cancel_wake()
     admission.refuse_queued(reason)
 
 
--- a/siskinlug/announcements.py
+++ b/siskinlug/announcements.py
@@ -17,6 +17,7 @@
 from siskinlug.evidence import Evidence, make_evidence
 from siskinlug.health_estimate import HealthEstimate, make_health_estimate
 from siskinlug.messages import Announcement, AnnouncementAnswer
+from siskinlug.rate_limit import RateLimit, make_rate_limit
 from siskinlug.verdict import Reason
 
 LEASE_S = 3.0
@@ -153,10 +154,13 @@
                 close(former.admission)
                 targets.owned_by_target.pop(former.announcement["target"], None)
         limits = targets.limits_of(message)
+        rate_limit = make_rate_limit(monotonic=targets.monotonic)
         owned = OwnedTarget(
             announcement=message,
             lease_until=lease_until,
-            admission=_make_admission(message["target"], limits, targets.monotonic),
+            admission=_make_admission(
+                message["target"], limits, targets.monotonic, rate_limit
+            ),
             evidence=make_evidence(monotonic=targets.monotonic),
             health_estimate=make_health_estimate(monotonic=targets.monotonic),
         )
@@ -196,11 +200,18 @@
 
 
 def _make_admission(
-    target: str, limits: AdmissionLimits, monotonic: Callable[[], float]
+    target: str,
+    limits: AdmissionLimits,
+    monotonic: Callable[[], float],
+    rate_limit: RateLimit,
 ) -> AdmissionControl:
     if limits.queue_by_deadline:
         return make_deadline_admission(
-            target=target, slots=limits.slots, queue=limits.queue, monotonic=monotonic
+            target=target,
+            slots=limits.slots,
+            queue=limits.queue,
+            monotonic=monotonic,
+            rate_limit=rate_limit,
         )
     return make_admission(
         target=target,
@@ -208,6 +219,7 @@
         queue=limits.queue,
         queue_wait_s=limits.queue_wait_s,
         monotonic=monotonic,
+        rate_limit=rate_limit,
     )
 
 
@@ -231,7 +243,10 @@
         )
         return owned
     replacement = _make_admission(
-        owned.announcement["target"], limits, owned.health_estimate.monotonic
+        owned.announcement["target"],
+        limits,
+        owned.health_estimate.monotonic,
+        admission.rate_limit,
     )
     replacement.closed = admission.closed
     close(admission, admission.closed or Reason.TARGET_UNKNOWN)
--- a/siskinlug/attempt_loop.py
+++ b/siskinlug/attempt_loop.py
@@ -31,6 +31,7 @@
     make_window_budget,
     may_retry,
 )
+from siskinlug.target_signals import read_signals, remember_signals
 from siskinlug.verdict import Reason, Refusal, Verdict, may_have_run, not_run
 
 # Subtracted from the deadline that owners get, to leave time for the response to reach
@@ -87,6 +88,8 @@
                 refusal = result.failure()
             else:
                 answer = result.unwrap()
+                signals = read_signals(entry.dialect, answer.headers)
+                remember_signals(entry.signals, placement.candidate.process, signals)
                 if not _should_buffer_failure(entry, request, answer, outcomes):
                     if await forward_answer(
                         entry, inbound, request, target, answer, copy
@@ -288,6 +291,7 @@
         usual_s=usual_service_time_s(entry, request),
         wait_limit_s=placement.wait_limit_s,
         due=request.started_at + request.objective_s,
+        known_limit_per_s=entry.signals.limit_by_target.get(candidate.process),
     )
     # Each attempt changes the headers that it is given.
     head = request.head._replace(headers=request.head.headers.copy())
--- a/siskinlug/candidates.py
+++ b/siskinlug/candidates.py
@@ -113,6 +113,7 @@
                 load=load,
                 load_age_s=now - load_at,
                 penalty_ms=_path_penalty_ms(view, node.node),
+                incarnation=target.incarnation,
             )
         )
     return usable_candidates(view.paths, eligible, pool.floor_slots)
--- a/siskinlug/deadline_queue.py
+++ b/siskinlug/deadline_queue.py
@@ -16,6 +16,7 @@
 
 from siskinlug.admission import Slot, Ticket
 from siskinlug.load import LoadReport
+from siskinlug.rate_limit import RateLimit, make_rate_limit
 from siskinlug.verdict import Reason, Refusal, not_run
 
 MAX_ROUTES = 64
@@ -77,6 +78,7 @@
         count: Refusals by reason code, and the number ``admitted``.
         closed: Reason for refusing all requests, ``None`` while requests are admitted.
         waiting: Queued tickets in order.
+        rate_limit: Limit that the target has named, if any.
     """
 
     def __init__(
@@ -87,7 +89,9 @@
         queue: int,
         monotonic: Callable[[], float],
         random: Random,
+        rate_limit: RateLimit,
     ) -> None:
+        self.rate_limit = rate_limit
         self.target = target
         self.slots = slots
         self.queue = queue
@@ -165,6 +169,22 @@
             self._resolve(
                 waiting, Success(self._start(waiting.ticket, self.monotonic()))
             )
+        if self.waiting:
+            self.rate_limit.wake_when_ready(self.dispatch)
+
+    def apply_rate_limit(self) -> None:
+        """Apply a changed limit, and refuse tickets that it leaves too little time."""
+        now = self.monotonic()
+        kept: list[_Waiting] = []
+        for waiting in self.waiting:
+            ticket, wait_s = waiting.ticket, self.rate_limit.ready_in_s(len(kept))
+            service_s = MIN_SERVICE_TIME_SHARE * self._usual_service_s(ticket)
+            if now + wait_s + service_s <= ticket.deadline:
+                kept.append(waiting)
+            else:
+                self._resolve(waiting, Failure(self._limited_refusal(wait_s)))
+        self.waiting = kept
+        self.dispatch()
 
     def refuse_queued(self, reason: Reason) -> None:
         """Refuse all queued tickets as not run."""
@@ -211,19 +231,22 @@
 
     def _wait_s(self, ahead: Sequence[_Waiting]) -> float:
         """Return the expected wait behind these queued tickets, in seconds."""
+        limit_s = self.rate_limit.ready_in_s(len(ahead))
         if self.in_use < self.slots and not ahead:
-            return 0.0
+            return limit_s
         work_s = sum(self._usual_service_s(waiting.ticket) for waiting in ahead)
         # With n slots in use, one becomes free after about 1/n of the mean service time
         # of the running requests.
         work_s += self._running_usual_s / max(self.in_use, 1)
-        return work_s / max(self.slots, 1)
+        return max(work_s / max(self.slots, 1), limit_s)
 
     def _usual_service_s(self, ticket: Ticket) -> float:
         return self._usual_s_by_route.get(ticket.route, ticket.usual_s)
 
     def _may_start(self, ticket: Ticket) -> bool:
         """Whether a slot is free; long work leaves the last free one to short work."""
+        if self.rate_limit.ready_in_s() > 0:
+            return False
         free = self.slots - self.in_use
         if free <= 0 or self.slots == 1:
             return free > 0
@@ -234,6 +257,8 @@
 
     def _next_to_start(self) -> _Waiting | None:
         """Return the ticket to start now, if any; those that will be late come last."""
+        if self.rate_limit.ready_in_s() > 0:
+            return None
         now = self.monotonic()
         first_late: _Waiting | None = None
         for waiting in self.waiting:
@@ -249,7 +274,7 @@
     def _start(self, ticket: Ticket, now: float) -> Slot:
         self.in_use += 1
         self.count["admitted"] += 1
-        slot = Slot(self, ticket, now)
+        slot = Slot(self, ticket, now, charged=self.rate_limit.take())
         self._usual_s_by_slot[slot] = self._usual_service_s(ticket)
         self._running_usual_s += self._usual_s_by_slot[slot]
         return slot
@@ -267,6 +292,8 @@
             latest_end = max(ticket.due, now + MIN_LATENCY_ALLOWANCE_S)
             too_late |= now + WAIT_MARGIN * wait_s + usual_s > latest_end
         if too_late:
+            if wait_s <= self.rate_limit.ready_in_s(len(ahead)):
+                return self._limited_refusal(wait_s)
             return not_run(
                 Reason.DEADLINE,
                 f"{wait_s:.3f} s expected wait is too long at this target",
@@ -281,6 +308,13 @@
             return None
         return self._queue_full_refusal()
 
+    def _limited_refusal(self, wait_s: float) -> Refusal:
+        return not_run(
+            Reason.TARGET_LIMITED,
+            f"{wait_s:.3f} s until the target's limit allows the request",
+            retry_after_s=self._retry_after_s(wait_s),
+        )
+
     def _queue_full_refusal(self) -> Refusal:
         return not_run(
             Reason.QUEUE_FULL,
@@ -329,6 +363,7 @@
     queue: int,
     monotonic: Callable[[], float],
     random: Random | None = None,
+    rate_limit: RateLimit | None = None,
 ) -> DeadlineAdmission:
     """Make the admission control of one target.
 
@@ -340,6 +375,7 @@
         queue: Maximum number of queued requests.
         monotonic: Clock in seconds.
         random: Source of the jitter of Retry-After.
+        rate_limit: Limit that the target names; none if ``None``.
     """
     return DeadlineAdmission(
         target=target,
@@ -347,4 +383,5 @@
         queue=queue,
         monotonic=monotonic,
         random=random or Random(),
+        rate_limit=rate_limit or make_rate_limit(monotonic=monotonic),
     )
--- a/siskinlug/entry_state.py
+++ b/siskinlug/entry_state.py
@@ -19,6 +19,7 @@
 from siskinlug.retries import Budget, RetryAllowance
 from siskinlug.service_times import ServiceTimes
 from siskinlug.tables import Pool, Route, Tables
+from siskinlug.target_signals import SignalMemory
 from siskinlug.verdict import Refusal, Verdict
 
 MAX_RECENT_SERVICE_TIMES = 64
@@ -131,6 +132,7 @@
         usual_bytes_by_route: Moving average of the size of a request and its response.
         avoid_until_by_target: End of the time in which a target is avoided, monotonic
             seconds.
+        signals: What targets have said of themselves in responses passed on here.
         last_id: Number in the id that was generated last.
         stop_at: When a stopping node must have answered all requests, monotonic
             seconds; infinite until it begins to stop.
@@ -178,6 +180,7 @@
         self.service_times_by_route: dict[str, deque[float]] = {}
         self.usual_bytes_by_route: dict[str, float] = {}
         self.avoid_until_by_target: dict[str, float] = {}
+        self.signals = SignalMemory()
         self.last_id = 0
         self.stop_at = math.inf
         self.started_at = monotonic()
--- a/siskinlug/load_balancing.py
+++ b/siskinlug/load_balancing.py
@@ -36,6 +36,7 @@
         load_age_s: Age of the report, in seconds.
         penalty_ms: Time added for failures on the path from this entry to the owner,
             in milliseconds.
+        incarnation: Incarnation of the target, 0 if unknown.
     """
 
     target: str
@@ -46,6 +47,12 @@
     load: LoadReport | None = None
     load_age_s: float = 0.0
     penalty_ms: float = 0.0
+    incarnation: int = 0
+
+    @property
+    def process(self) -> tuple[str, int]:
+        """The target with its incarnation."""
+        return self.target, self.incarnation
 
 
 class LoadBalancer(Protocol):
--- a/siskinlug/node.py
+++ b/siskinlug/node.py
@@ -14,6 +14,7 @@
     AdmissionLimits,
     OwnedTargets,
     apply_limits,
+    mark_target_leaving,
 )
 from siskinlug.attempts import downgrade_stale_verdict, make_attempts
 from siskinlug.candidates import TargetView, record_load_report
@@ -37,6 +38,7 @@
     EjectionMonitor,
     is_ejected,
     probe_target,
+    publish_targets,
 )
 from siskinlug.entry_state import Entry
 from siskinlug.inbound import InboundServer
@@ -76,7 +78,7 @@
 from siskinlug.settings import Settings
 from siskinlug.tables import Tables
 from siskinlug.target_selection import select_by_load_reports, select_by_polling
-from siskinlug.timeline import Timeline
+from siskinlug.timeline import Kind, Timeline, record_event
 from siskinlug.verdict import Verdict
 
 CANCEL_TIMEOUT_S = 1.0
@@ -174,6 +176,9 @@
             monotonic=self.monotonic,
             dialect=options.dialect,
             estimates_health=options.health_policy == "belief",
+            on_leaving=lambda target: mark_leaving(
+                self, target, "said so in a response"
+            ),
             count_signal=lambda signal: self.metrics.signals.add(1, {"signal": signal}),
         )
         self.polls = make_polls(
@@ -428,6 +433,19 @@
     return Node(settings, options=options or NodeOptions(), random=random or Random())
 
 
+def mark_leaving(node: Node, target: str, detail: str) -> None:
+    """Stop sending requests to a target until its next incarnation.
+
+    Args:
+        node: The node that owns the target.
+        target: Target id.
+        detail: How the node learned of it.
+    """
+    if mark_target_leaving(node.targets, target):
+        record_event(node.timeline, Kind.TARGET_LEAVING, target, detail)
+        publish_targets(node.ejection_monitor)
+
+
 def _apply_admission_limits(node: Node) -> None:
     """Apply the limits of the tables in force to the queues of owned targets."""
     owned_by_target = node.targets.owned_by_target
--- a/siskinlug/node_runtime.py
+++ b/siskinlug/node_runtime.py
@@ -30,7 +30,6 @@
 from siskinlug.announcements import (
     RENEWAL_INTERVAL_S,
     accept_announcement,
-    mark_target_leaving,
 )
 from siskinlug.attempts import attempt_state, cancel_attempt
 from siskinlug.claim_messages import ClaimsAnswer, ClaimsMessage
@@ -75,6 +74,7 @@
     CONFIGURATION_PATH,
     RESERVATIONS_PATH,
     Node,
+    mark_leaving,
 )
 from siskinlug.owner import detect_crash
 from siskinlug.peer_client import call_peer
@@ -164,9 +164,7 @@
 
 def withdraw_target(node: Node, target: str) -> None:
     """Stop sending requests to a target that has announced that it is gone."""
-    if mark_target_leaving(node.targets, target):
-        record_event(node.timeline, Kind.TARGET_LEAVING, target, "withdrew")
-        publish_targets(node.ejection_monitor)
+    mark_leaving(node, target, "withdrew")
 
 
 def is_ready(node: Node) -> bool:
--- a/siskinlug/owner.py
+++ b/siskinlug/owner.py
@@ -103,6 +103,8 @@
             target.
         due: Time on the owner's monotonic clock at which the latency objective ends.
         usual_s: Usual service time of the route in seconds, if the entry knows it.
+        known_limit_per_s: Limit of the target in requests per second that the entry
+            remembers from a response, if any.
         wait_limit_s: Wait for a slot, in seconds, after which the entry prefers to
             select a target again.
     """
@@ -121,6 +123,7 @@
     due: float = math.inf
     usual_s: float | None = None
     wait_limit_s: float = math.inf
+    known_limit_per_s: float | None = None
 
 
 class Owner:
@@ -142,7 +145,7 @@
         probe: Probes a target over a new connection; returns whether it passed.
         resets: Reset connections that may turn out to be crashes.
         runs_by_target: Running requests of each target.
-        signals_by_target: Signals in the latest response of each target.
+        on_leaving: Called with a target that says that it is leaving.
         count_signal: Counts a signal that a target begins or ends, by its name.
     """
 
@@ -159,6 +162,7 @@
         monotonic: Callable[[], float],
         dialect: Dialect = DEFAULT_DIALECT,
         estimates_health: bool = False,
+        on_leaving: Callable[[str], object] = lambda _target: None,
         count_signal: Callable[[str], object] = lambda _signal: None,
     ) -> None:
         self.dialect = dialect
@@ -174,7 +178,7 @@
         self.probe = probe
         self.resets = PendingResets(monotonic=monotonic)
         self.runs_by_target: dict[str, TargetRuns] = {}
-        self.signals_by_target: dict[str, TargetSignals] = {}
+        self.on_leaving = on_leaving
         self.count_signal = count_signal
 
 
@@ -261,6 +265,7 @@
     verdict = Verdict.NOT_RUN
     try:
         owned = owner.targets.owned_by_target[request.target]
+        _adopt_known_limit(owner, request, owned)
         ticket = Ticket(
             attempt=request.attempt,
             route=request.route,
@@ -410,6 +415,11 @@
             estimate = run.owned.health_estimate
             if not admit_request(estimate, min_health=request.min_health):
                 refusal = _unhealthy_refusal(request, current_health(estimate))
+        if refusal is None and run.owned.admission.rate_limit.is_expired(
+            run.slot.started
+        ):
+            detail = f"the permit of {request.target} has expired"
+            refusal = not_run(Reason.TARGET_LIMITED, detail)
         if refusal is None and not mark_attempt_started(
             owner.attempts, request.attempt
         ):
@@ -418,6 +428,7 @@
             connection.reusable = True
             yield Failure(refusal)
             return
+        run.slot.sent = True
         async with _run_on_connection(run, connection, head, body) as result:
             yield result
 
@@ -611,6 +622,7 @@
     if dialect.expected_target:
         headers[dialect.expected_target] = run.request.target
     request_id = headers.get(dialect.request_id)
+    sent_at = run.owner.monotonic()
     async with exchange(
         connection, head, body, first_byte_timeout_s=remaining_s
     ) as result:
@@ -632,29 +644,83 @@
                 # Without a length, a truncated response would look complete.
                 yield Failure(ExchangeFailure(True, "malformed"))
                 return
-            _observe_signals(run, signals)
+            _observe_signals(run, signals, sent_at)
         yield result
 
 
-def _observe_signals(run: _Run, signals: TargetSignals) -> None:
-    """Log and count the signals that begin, change or end with a response."""
+def _adopt_known_limit(
+    owner: Owner, request: AttemptRequest, owned: OwnedTarget
+) -> None:
+    """Adopt the limit that an entry remembers, if this process knows nothing yet.
+
+    After a restart of this node, its target may still have a limit, and entries that
+    have passed it on to callers must keep to it.
+    """
+    limit, known_per_s = owned.admission.rate_limit, request.known_limit_per_s
+    if known_per_s is None or limit.confirmed:
+        return
+    if limit.per_s is not None and limit.per_s <= known_per_s:
+        return
+    _change_limit(owner, owned, known_per_s, source=request.attempt)
+
+
+def _observe_signals(run: _Run, signals: TargetSignals, sent_at: float) -> None:
+    """Apply what the target says of itself in a response.
+
+    Args:
+        run: The attempt.
+        signals: Signals in the response.
+        sent_at: When the request was sent, monotonic seconds. A response without a
+            limit ends a limit that was named before that, since responses may overtake
+            each other.
+    """
     owner, target = run.owner, run.request.target
-    before = owner.signals_by_target.get(target, TargetSignals())
-    owner.signals_by_target[target] = signals
-    if signals == before:
+    owned = owner.targets.owned_by_target.get(target)
+    incarnation = run.owned.announcement["incarnation"]
+    if owned is None or owned.announcement["incarnation"] != incarnation:
+        return
+    limit = owned.admission.rate_limit
+    limit.confirmed = True
+    if signals.limit_per_s is not None:
+        _change_limit(owner, owned, signals.limit_per_s, source=run.request_id)
+    elif not signals.names_limit and sent_at > limit.named_at:
+        _change_limit(owner, owned, None, source=run.request_id)
+    if signals.leaving and owned.announcement["state"] != "leaving":
+        log_event("target_says_leaving", target=target, request_id=run.request_id)
+        owner.count_signal("leaving")
+        owner.on_leaving(target)
+
+
+def _change_limit(
+    owner: Owner, owned: OwnedTarget, per_s: float | None, *, source: str
+) -> None:
+    """Set or end the limit of a target, and log and count a change.
+
+    Args:
+        owner: The owner role.
+        owned: The target.
+        per_s: Requests per second, ``None`` for no limit.
+        source: Id of the request or attempt that told of it.
+    """
+    limit = owned.admission.rate_limit
+    before_per_s = limit.per_s
+    if per_s is None:
+        limit.lift()
+    else:
+        limit.name(per_s)
+    if per_s == before_per_s:
         return
     log_event(
-        "target_signals",
-        target=target,
-        request_id=run.request_id,
-        limit_per_s=signals.limit_per_s,
-        limit_per_s_before=before.limit_per_s,
-        leaving=signals.leaving,
+        "target_limit",
+        target=owned.announcement["target"],
+        source=source,
+        confirmed=limit.confirmed,
+        limit_per_s=per_s,
+        limit_per_s_before=before_per_s,
     )
-    if signals.names_limit != before.names_limit:
-        owner.count_signal("limited" if signals.names_limit else "limit_ended")
-    if signals.leaving and not before.leaving:
-        owner.count_signal("leaving")
+    if (per_s is None) != (before_per_s is None):
+        owner.count_signal("limit_ended" if per_s is None else "limited")
+    owned.admission.apply_rate_limit()
 
 
 def _record_answer(
--- a/siskinlug/peer_server.py
+++ b/siskinlug/peer_server.py
@@ -15,6 +15,7 @@
 from siskinlug.load import encode_load
 from siskinlug.logs import log_event
 from siskinlug.owner import AttemptRequest, Owner, open_attempt, target_load
+from siskinlug.target_signals import parse_limit
 from siskinlug.verdict import Reason, Refusal, not_run
 
 MAX_MESSAGE_BYTES = 4 << 20
@@ -142,6 +143,7 @@
     try:
         baseline = headers.get("Siskinlug-Baseline-Ms")
         usual = headers.get("Siskinlug-Usual-Ms")
+        known_limit = headers.get("Siskinlug-Known-Limit")
         return AttemptRequest(
             attempt=headers["Siskinlug-Attempt"],
             target=headers["Siskinlug-Target"],
@@ -156,6 +158,7 @@
             min_health=float(headers.get("Siskinlug-Least-Sound", 0.0)),
             usual_s=float(usual) / 1000 if usual else None,
             wait_limit_s=float(headers.get("Siskinlug-Wait-Limit-Ms", math.inf)) / 1000,
+            known_limit_per_s=parse_limit(known_limit) if known_limit else None,
             due=now + float(headers.get("Siskinlug-Due-Ms", math.inf)) / 1000,
         )
     except KeyError as error:
--- a/siskinlug/remote_attempts.py
+++ b/siskinlug/remote_attempts.py
@@ -187,6 +187,8 @@
         headers["Siskinlug-Usual-Ms"] = f"{attempt.usual_s * 1000:.1f}"
     if math.isfinite(attempt.wait_limit_s):
         headers["Siskinlug-Wait-Limit-Ms"] = f"{attempt.wait_limit_s * 1000:.0f}"
+    if attempt.known_limit_per_s is not None:
+        headers["Siskinlug-Known-Limit"] = f"{attempt.known_limit_per_s:.3f}"
     if math.isfinite(attempt.due):
         due_ms = (attempt.due - remote.monotonic()) * 1000
         headers["Siskinlug-Due-Ms"] = f"{due_ms:.0f}"
--- a/siskinlug/retries.py
+++ b/siskinlug/retries.py
@@ -26,8 +26,9 @@
 BUDGET_FREE_ATTEMPTS = 3
 # Each refusal by an owner, before the target receives the request, costs a round trip.
 MAX_REFUSED_ATTEMPTS = 30
-# Attempts that may be refused because the queue is longer than the deadline. Each goes
-# to a target chosen for its short wait, so a third one would have no better chance.
+# Attempts that may be refused because the queue or the target's limit leaves too little
+# time. Each goes to a target chosen for its short wait, so a third one would have no
+# better chance.
 MAX_DEADLINE_ATTEMPTS = 2
 # Refusals that every other target would give as well.
 NON_RETRYABLE_REASONS = frozenset(
@@ -265,7 +266,7 @@
     if now + expected_s > deadline:
         return False
     if possible_runs is not None and refusal.verdict is Verdict.NOT_RUN:
-        if refusal.reason is Reason.DEADLINE:
+        if refusal.reason in (Reason.DEADLINE, Reason.TARGET_LIMITED):
             # Other entries may have filled the queue since its owner reported on it.
             return attempt < MAX_DEADLINE_ATTEMPTS
         # TARGET_SHED is the one refusal by the target itself.
--- a/siskinlug/target_selection.py
+++ b/siskinlug/target_selection.py
@@ -217,9 +217,12 @@
 def _remaining_candidates(
     entry: Entry, request: Request, excluded: set[str]
 ) -> list[Candidate]:
-    """Return the candidates for a request without the excluded targets."""
+    """Return the candidates for a request without excluded and leaving targets."""
     remaining = find_candidates(entry.view, request.route, request.pool)
-    return [c for c in remaining if c.target not in excluded]
+    leaving = entry.signals.leaving
+    return [
+        c for c in remaining if c.target not in excluded and c.process not in leaving
+    ]
 
 
 def _sample_candidates(
--- a/siskinlug/target_signals.py
+++ b/siskinlug/target_signals.py
@@ -5,6 +5,7 @@
 """
 
 import math
+from collections import OrderedDict
 from typing import NamedTuple
 
 from absl import logging
@@ -14,6 +15,11 @@
 from siskinlug.logs import log_event
 
 _MAX_LOGGED_CHARS = 32
+# More than the targets of a fleet of the planned size.
+_MAX_REMEMBERED = 8192
+
+# A target id and the incarnation of the target.
+TargetProcess = tuple[str, int]
 
 
 class TargetSignals(NamedTuple):
@@ -59,3 +65,39 @@
         value=text[:_MAX_LOGGED_CHARS],
     )
     return None
+
+
+class SignalMemory:
+    """What an entry has learned of targets from the responses that it passed on.
+
+    It outlives a restart of the owners, which know more but forget it.
+
+    Attributes:
+        limit_by_target: Named limits in requests per second.
+        leaving: Targets that have said that they are leaving.
+    """
+
+    def __init__(self) -> None:
+        self.limit_by_target: OrderedDict[TargetProcess, float] = OrderedDict()
+        self.leaving: OrderedDict[TargetProcess, None] = OrderedDict()
+
+
+def remember_signals(
+    memory: SignalMemory, target: TargetProcess, signals: TargetSignals
+) -> None:
+    """Remember the signals in a response, or that it has none.
+
+    Args:
+        memory: The entry's memory.
+        target: The target.
+        signals: The signals in its response.
+    """
+    if signals.limit_per_s is not None:
+        memory.limit_by_target[target] = signals.limit_per_s
+    elif not signals.names_limit:
+        memory.limit_by_target.pop(target, None)
+    if signals.leaving:
+        memory.leaving[target] = None
+    for remembered in (memory.limit_by_target, memory.leaving):
+        if len(remembered) > _MAX_REMEMBERED:
+            remembered.popitem(last=False)
--- a/siskinlug/verdict.py
+++ b/siskinlug/verdict.py
@@ -29,6 +29,7 @@
     TARGET_UNKNOWN = "target_unknown"
     LEASE_LAPSED = "lease_lapsed"
     TARGET_SHED = "target_shed"
+    TARGET_LIMITED = "target_limited"
     TARGET_DOUBTED = "target_doubted"
     TARGET_FAILED = "target_failed"
     TARGET_UNREACHABLE = "target_unreachable"
@@ -123,6 +124,11 @@
         "The target itself refused the request before running it.",
         "Add targets, or lower `slots`.",
     ),
+    Reason.TARGET_LIMITED: ReasonInfo(
+        503,
+        "The target has named a limit on its request rate, which has been reached.",
+        "Wait for Retry-After; look at `target_signals` in the log of its owner.",
+    ),
     Reason.TARGET_DOUBTED: ReasonInfo(
         503,
         "The target's owner considers it unhealthy because of its recent responses.",
--- a/tests/test_stopping_entry.py
+++ b/tests/test_stopping_entry.py
@@ -16,6 +16,7 @@
 from siskinlug.entry_state import Placement
 from siskinlug.load_balancing import Candidate
 from siskinlug.tables import Pool, Route
+from siskinlug.target_signals import SignalMemory
 
 ROUTE = Route("r", "*", "/", (), "p", timeout_s=20.0, objective_s=8.0)
 
@@ -35,6 +36,7 @@
             directory=SimpleNamespace(own_node="n-0", record_by_node={})
         ),
         budget_by_pool={},
+        signals=SignalMemory(),
         usual_bytes_by_route={},
         service_times_by_route={"r": deque([1.0] * 8)},
     )
