Remember the leaving and the limit of a target beyond its lease

Found while looking for the same cause elsewhere: an owner dropped a target with its lease and with it what the target had said. A renewal that arrived later than the lease made a leaving target ready again and a limited one unlimited. Both tests fail before: 'ready' != 'leaving', None != 1.0.

The owner now remembers former targets until their next incarnation, or until they come back from another owner with a higher epoch. A limit ends only with two responses in a row without it, since a garbled one may lack the header, and a request that was too late without any limit is refused as deadline again, not as target_limited (new test).

--- a/siskinlug/admission.py
+++ b/siskinlug/admission.py
@@ -542,7 +542,7 @@
             return not_run(self.closed)
         now = self.monotonic()
         wait_s = self.expected_wait_s(ticket)
-        limited = wait_s > 0 and wait_s <= self.rate_limit.ready_in_s(self.queued)
+        limited = 0 < wait_s <= self.rate_limit.ready_in_s(self.queued)
         if now + wait_s + self._usual_service_s(ticket) > ticket.deadline:
             if limited:
                 return self._limited_refusal(wait_s)
--- a/siskinlug/announcements.py
+++ b/siskinlug/announcements.py
@@ -1,5 +1,6 @@
 """Targets that announce themselves to this node, and their leases."""
 
+from collections import OrderedDict
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
@@ -23,6 +24,8 @@
 LEASE_S = 3.0
 RENEWAL_INTERVAL_S = 1.0
 MAX_SLOTS = 10_000
+# Targets of one node that are remembered after their lease has expired.
+MAX_FORMER_TARGETS = 1024
 _MAX_NAME_LENGTH = 64
 
 
@@ -44,6 +47,18 @@
     health_estimate: HealthEstimate
 
 
+class FormerTarget(NamedTuple):
+    """What is remembered of a target whose lease has expired.
+
+    Attributes:
+        announcement: Its last announcement.
+        rate_limit: Limit that it has named, if any.
+    """
+
+    announcement: Announcement
+    rate_limit: RateLimit
+
+
 class AdmissionLimits(NamedTuple):
     """Limits of a target's admission control, from the pools table.
 
@@ -84,6 +99,7 @@
         self.limits_of = limits_of
         self.lease_s = lease_s
         self.owned_by_target: dict[str, OwnedTarget] = {}
+        self.former_by_target: OrderedDict[str, FormerTarget] = OrderedDict()
 
     def get_leased(self, target: str) -> OwnedTarget | None:
         """Return a target whose lease has not expired, or ``None``."""
@@ -115,9 +131,10 @@
 
     A new incarnation of a target starts with an empty admission queue and no evidence;
     requests queued for the old one are refused as not run. A leaving target stays
-    leaving until its next incarnation. If two targets announce the same address, it
-    belongs to the one that started later. A renewal that was overtaken by a newer one,
-    as its sequence number shows, changes nothing.
+    leaving until its next incarnation, or until it comes back from another owner. An
+    incarnation whose lease had expired keeps the limit that it named. If two targets
+    announce the same address, it belongs to the one that started later. A renewal that
+    was overtaken by a newer one, as its sequence number shows, changes nothing.
 
     Args:
         targets: Targets of this node.
@@ -155,6 +172,12 @@
                 targets.owned_by_target.pop(former.announcement["target"], None)
         limits = targets.limits_of(message)
         rate_limit = make_rate_limit(monotonic=targets.monotonic)
+        earlier = targets.former_by_target.pop(message["target"], None)
+        if earlier and earlier.announcement["incarnation"] == message["incarnation"]:
+            rate_limit = earlier.rate_limit
+            has_moved = message["epoch"] > earlier.announcement["epoch"]
+            if earlier.announcement["state"] == "leaving" and not has_moved:
+                message = {**message, "state": "leaving"}
         owned = OwnedTarget(
             announcement=message,
             lease_until=lease_until,
@@ -266,7 +289,13 @@
         if owned.lease_until <= now
     ]
     for name in expired:
-        close(targets.owned_by_target.pop(name).admission)
+        owned = targets.owned_by_target.pop(name)
+        close(owned.admission)
+        targets.former_by_target[name] = FormerTarget(
+            owned.announcement, owned.admission.rate_limit
+        )
+        if len(targets.former_by_target) > MAX_FORMER_TARGETS:
+            targets.former_by_target.popitem(last=False)
     return expired
 
 
--- a/siskinlug/deadline_queue.py
+++ b/siskinlug/deadline_queue.py
@@ -292,7 +292,7 @@
             latest_end = max(ticket.due, now + MIN_LATENCY_ALLOWANCE_S)
             too_late |= now + WAIT_MARGIN * wait_s + usual_s > latest_end
         if too_late:
-            if wait_s <= self.rate_limit.ready_in_s(len(ahead)):
+            if 0 < wait_s <= self.rate_limit.ready_in_s(len(ahead)):
                 return self._limited_refusal(wait_s)
             return not_run(
                 Reason.DEADLINE,
--- a/siskinlug/owner.py
+++ b/siskinlug/owner.py
@@ -670,9 +670,7 @@
     Args:
         run: The attempt.
         signals: Signals in the response.
-        sent_at: When the request was sent, monotonic seconds. A response without a
-            limit ends a limit that was named before that, since responses may overtake
-            each other.
+        sent_at: When the request was sent, monotonic seconds.
     """
     owner, target = run.owner, run.request.target
     owned = owner.targets.owned_by_target.get(target)
@@ -683,7 +681,7 @@
     limit.confirmed = True
     if signals.limit_per_s is not None:
         _change_limit(owner, owned, signals.limit_per_s, source=run.request_id)
-    elif not signals.names_limit and sent_at > limit.named_at:
+    elif not signals.names_limit and limit.observe_unlimited(sent_at):
         _change_limit(owner, owned, None, source=run.request_id)
     if signals.leaving and owned.announcement["state"] != "leaving":
         log_event("target_says_leaving", target=target, request_id=run.request_id)
--- a/siskinlug/rate_limit.py
+++ b/siskinlug/rate_limit.py
@@ -17,6 +17,8 @@
 # A permit that is older is not used. The process was paused meanwhile, and permits from
 # before and after the pause would add up.
 MAX_PERMIT_AGE_S = 0.5
+# A single response without the limit may be a spoiled one.
+RESPONSES_TO_LIFT = 2
 # Accounts for rounding, so that the timer does not fire just before the next token.
 _EPSILON = 1e-6
 
@@ -27,6 +29,7 @@
     Attributes:
         per_s: Requests per second that the target takes, ``None`` for no limit.
         named_at: When the limit was named last, monotonic seconds.
+        unlimited_responses: Responses since then that named no limit.
         confirmed: Whether this process has received a response of the target, which
             says more than what other processes remember.
     """
@@ -35,6 +38,7 @@
         self.monotonic = monotonic
         self.per_s: float | None = None
         self.named_at = -math.inf
+        self.unlimited_responses = 0
         self.confirmed = False
         self._tokens = 0.0
         self._tokens_at = monotonic()
@@ -53,8 +57,22 @@
             self._refill()
         self._tokens_at = self.named_at = self.monotonic()
         self.per_s = per_s
+        self.unlimited_responses = 0
         self._tokens = min(self._tokens, self._max_tokens())
 
+    def observe_unlimited(self, sent_at: float) -> bool:
+        """Count a response that names no limit; return whether the limit has ended.
+
+        Args:
+            sent_at: When its request was sent, monotonic seconds. A request from before
+                the limit was named last proves nothing, since responses may overtake
+                each other.
+        """
+        if self.per_s is None or sent_at <= self.named_at:
+            return False
+        self.unlimited_responses += 1
+        return self.unlimited_responses >= RESPONSES_TO_LIFT
+
     def lift(self) -> None:
         """End the limit."""
         self.per_s = None
--- a/tests/test_announcement_order.py
+++ b/tests/test_announcement_order.py
@@ -5,10 +5,12 @@
 from testtools.matchers import Equals, Is, IsInstance
 
 from siskinlug.announcements import (
+    LEASE_S,
     AdmissionLimits,
     OwnedTargets,
     accept_announcement,
     apply_limits,
+    drop_expired_targets,
     mark_target_leaving,
 )
 from siskinlug.deadline_queue import DeadlineAdmission
@@ -34,8 +36,9 @@
 class AnnouncementOrderTest(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
+        self.now = 1.0
         self.targets = OwnedTargets(
-            monotonic=lambda: 1.0, limits_of=lambda _m: AdmissionLimits(4, 8, 2.0)
+            monotonic=lambda: self.now, limits_of=lambda _m: AdmissionLimits(4, 8, 2.0)
         )
 
     def _announce(self, **changed: object) -> object:
@@ -61,6 +64,43 @@
         self._announce(sequence=9)
         self.assertThat(self._state(), Equals("leaving"))
 
+    def test_leaving_target_stays_away_after_its_lease_has_expired(self) -> None:
+        """Guards against a target that a renewal brings back after it has left.
+
+        The renewal was delayed for longer than the lease, or the target still sends it.
+        """
+        self._announce()
+        mark_target_leaving(self.targets, "t-1")
+        self.now += LEASE_S + 1.0
+        self.assertThat(drop_expired_targets(self.targets), Equals(["t-1"]))
+        self._announce(sequence=9)
+        self.assertThat(self._state(), Equals("leaving"))
+        owned = self.targets.owned_by_target["t-1"]
+        self.assertThat(owned.admission.closed, Equals(Reason.TARGET_LEAVING))
+
+    def test_target_that_has_moved_away_and_back_is_ready(self) -> None:
+        """Guards against an owner that refuses a target which it had before."""
+        self._announce()
+        self._announce(state="leaving", sequence=6)
+        self.now += LEASE_S + 1.0
+        drop_expired_targets(self.targets)
+        self._announce(epoch=2, sequence=7)
+        self.assertThat(self._state(), Equals("ready"))
+
+    def test_limit_of_a_target_outlives_its_lease(self) -> None:
+        """Guards against a limit forgotten because renewals were late."""
+        self._announce()
+        before = self.targets.owned_by_target["t-1"].admission.rate_limit
+        before.name(1.0)
+        self.now += LEASE_S + 1.0
+        drop_expired_targets(self.targets)
+        self._announce(sequence=9)
+        after = self.targets.owned_by_target["t-1"].admission.rate_limit
+        self.assertThat(after.per_s, Equals(1.0))
+        self._announce(incarnation=200, sequence=0)
+        restarted = self.targets.owned_by_target["t-1"].admission.rate_limit
+        self.assertThat(restarted.per_s, Is(None))
+
     def test_next_incarnation_of_a_target_is_ready_again(self) -> None:
         """Guards against a restarted target that never gets requests.
 
--- a/tests/test_rate_limit.py
+++ b/tests/test_rate_limit.py
@@ -137,6 +137,19 @@
                 self.assertThat(refusal.reason, Equals(Reason.TARGET_LIMITED))
                 self.assertThat(refusal.retry_after_s or 0.0, GreaterThan(0.4))
 
+    def test_refusal_without_a_limit_has_another_reason(self) -> None:
+        """Load pattern: a request that arrives after its deadline, without any limit."""
+
+        async def main(make_control: MakeControl) -> Reason:
+            loop = asyncio.get_running_loop()
+            control = make_control(make_rate_limit(monotonic=loop.time))
+            ticket = Ticket("a", "r", "", 1, False, loop.time() - 0.1)
+            async with open_slot(control, ticket) as admitted:
+                return admitted.failure().reason
+
+        for make_control in (_deadline_queue, _fair_queue):
+            self.assertThat(run_virtual(main(make_control)), Equals(Reason.DEADLINE))
+
     def test_requests_below_the_limit_do_not_wait(self) -> None:
         """Load pattern: 2 requests/s for a target that takes 3/s."""
         for make_control in (_deadline_queue, _fair_queue):
@@ -261,6 +274,19 @@
             allowed = 1.5 * limit_per_s * WINDOW_S + 5
             self.assertThat(len(in_window), LessThan(allowed + 1))
 
+    def test_one_spoiled_response_ends_no_limit(self) -> None:
+        """Guards against a limit that is lost with a garbled or overtaken response."""
+        now = 0.0
+        rate_limit = make_rate_limit(monotonic=lambda: now)
+        rate_limit.name(1.0)
+        now = 1.0
+        self.assertThat(rate_limit.observe_unlimited(0.5), Equals(False))
+        rate_limit.name(1.0)
+        self.assertThat(
+            [rate_limit.observe_unlimited(at) for at in (0.9, 1.5, 1.6)],
+            Equals([False, False, True]),
+        )
+
     def test_permit_from_before_a_pause_of_the_process_expires(self) -> None:
         """Guards against requests admitted before and after a pause that add up."""
         now = 0.0
