Show limits and leaving targets to operators

siskinlug show signals and the admin page /signals list the limits that targets have named and the targets that say they leave, as owner and as entry; explain says why such a target is left out. No change of what is sent.

--- a/siskinlug/admin.py
+++ b/siskinlug/admin.py
@@ -7,6 +7,7 @@
 import msgspec
 from tornado.httputil import HTTPHeaders
 
+from siskinlug.announcements import OwnedTargets
 from siskinlug.candidates import TargetView, distance, find_candidates, is_pool_member
 from siskinlug.clock import Timestamp
 from siskinlug.directory import Directory, NodeRecord, TargetRecord
@@ -14,6 +15,7 @@
 from siskinlug.metrics import export_metrics
 from siskinlug.routing import match_route
 from siskinlug.tables import Tables
+from siskinlug.target_signals import SignalMemory
 from siskinlug.timeline import Timeline
 
 Page = Callable[[Mapping[str, str]], Any]
@@ -106,11 +108,54 @@
     return page
 
 
-def explain_page(view: TargetView, tables: Callable[[], Tables]) -> Page:
+def signals_page(targets: OwnedTargets, memory: SignalMemory) -> Page:
+    """Build the page of targets that have named a limit or say that they are leaving.
+
+    Args:
+        targets: Targets of this node, whose limits it keeps.
+        memory: What this node remembers of targets from responses that it passed on.
+    """
+
+    def page(_query: Mapping[str, str]) -> Any:
+        own = [
+            {
+                "target": name,
+                "known_by": "owner",
+                "leaving": owned.announcement["state"] == "leaving",
+                "limit_per_s": owned.admission.rate_limit.per_s,
+                "ready_in_s": round(owned.admission.rate_limit.ready_in_s(), 3),
+            }
+            for name, owned in targets.owned_by_target.items()
+            if owned.admission.rate_limit.per_s is not None
+            or owned.announcement["state"] == "leaving"
+        ]
+        remembered = [
+            {
+                "target": process[0],
+                "known_by": "entry",
+                "leaving": process in memory.leaving,
+                "limit_per_s": memory.limit_by_target.get(process),
+                "ready_in_s": None,
+            }
+            for process in memory.limit_by_target.keys() | memory.leaving.keys()
+        ]
+        return own + remembered
+
+    return page
+
+
+def explain_page(
+    view: TargetView, tables: Callable[[], Tables], memory: SignalMemory
+) -> Page:
     """Build the page that explains how this node would route a request.
 
     It lists the candidate targets, and the other targets with the reason why each one
     is left out.
+
+    Args:
+        view: What this node knows of all targets.
+        tables: Returns the tables in force.
+        memory: What this node remembers of targets from responses that it passed on.
     """
 
     def page(query: Mapping[str, str]) -> Any:
@@ -126,13 +171,17 @@
         return {
             "route": route._asdict(),
             "pool": pool._asdict(),
-            "candidates": [c._asdict() for c in find_candidates(view, route, pool)],
+            "candidates": [
+                c._asdict()
+                for c in find_candidates(view, route, pool)
+                if c.process not in memory.leaving
+            ],
             "left_out": [
                 {"target": target.target, "node": node.node, "why": why}
                 for node in view.directory.record_by_node.values()
                 for target in node.targets
                 if target.service == pool.service
-                and (why := _why_left_out(pool, node, target, route.name))
+                and (why := _why_left_out(pool, node, target, route.name, memory))
             ],
             "from": own.node,
             "distance_by_node": {
@@ -143,13 +192,21 @@
     return page
 
 
-def _why_left_out(pool: Any, node: NodeRecord, target: TargetRecord, route: str) -> str:
+def _why_left_out(
+    pool: Any,
+    node: NodeRecord,
+    target: TargetRecord,
+    route: str,
+    memory: SignalMemory,
+) -> str:
     if not is_pool_member(pool, node, target):
         return "VM or failure domain not in the pool"
     if node.state != "alive":
         return f"its node is {node.state}"
     if target.state != "ready":
         return f"it is {target.state}"
+    if (target.target, target.incarnation) in memory.leaving:
+        return "a response said that it is leaving"
     if "*" in target.ejected or route in target.ejected:
         return "it is ejected"
     return ""
--- a/siskinlug/cli.py
+++ b/siskinlug/cli.py
@@ -60,6 +60,7 @@
     NODES = "nodes"
     TARGETS = "targets"
     TABLES = "tables"
+    SIGNALS = "signals"
 
 
 app = typer.Typer(
@@ -309,7 +310,7 @@
 
 @app.command()
 def show(page: AdminPage, node: NodeOption, as_json: JsonOption = False) -> None:
-    """Show the nodes, the targets or the tables in force, as known to one node."""
+    """Show nodes, targets, tables or signals of targets, as known to one node."""
     content = _run(_fetch_from_node(node, f"/{page.value}"))
     if as_json:
         _print_json(content)
--- a/siskinlug/node_runtime.py
+++ b/siskinlug/node_runtime.py
@@ -22,6 +22,7 @@
     explain_page,
     make_admin_handler,
     nodes_page,
+    signals_page,
     tables_page,
     targets_page,
     timeline_page,
@@ -298,7 +299,8 @@
             "/tables": tables_page(node.tables),
             "/configuration": configuration_page(node.configuration),
             "/timeline": timeline_page(node.timeline),
-            "/explain": explain_page(node.entry.view, node.tables),
+            "/explain": explain_page(node.entry.view, node.tables, node.entry.signals),
+            "/signals": signals_page(node.targets, node.entry.signals),
         }
     )
     peer = make_peer_handler(
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -16,7 +16,16 @@
 from tornado.web import Application, RequestHandler
 from typer.testing import CliRunner
 
+from siskinlug.admin import signals_page
+from siskinlug.announcements import (
+    AdmissionLimits,
+    OwnedTargets,
+    accept_announcement,
+    mark_target_leaving,
+)
 from siskinlug.cli import ExitCode, _format_cell, app
+from siskinlug.messages import Announcement
+from siskinlug.target_signals import SignalMemory, TargetSignals, remember_signals
 from standins.log_service import LogState, serve
 
 EXAMPLE = Path(__file__).resolve().parent.parent / "examples" / "robe-hire"
@@ -163,3 +172,32 @@
         """Guards against ``explain`` that fails once a candidate has a load report."""
         report = ["i-1", 4, 2, 0, 20.0, 20.0, 2, 0.0]
         self.assertThat(_format_cell(report), Contains("i-1 4 2"))
+
+
+class SignalsPageTest(testtools.TestCase):
+    def test_limited_and_leaving_targets_are_shown_to_operators(self) -> None:
+        """Guards against limits that operators can see only in logs."""
+        targets = OwnedTargets(
+            monotonic=lambda: 1.0, limits_of=lambda _m: AdmissionLimits(4, 8, 2.0)
+        )
+        for name, port in (("t-1", 81), ("t-2", 82), ("t-3", 83)):
+            announcement = Announcement(
+                target=name,
+                service="s",
+                host="10.0.0.1",
+                port=port,
+                slots=4,
+                incarnation=5,
+                epoch=0,
+                state="ready",
+            )
+            accept_announcement(targets, announcement, alternatives=())
+        targets.owned_by_target["t-1"].admission.rate_limit.name(2.0)
+        mark_target_leaving(targets, "t-2")
+        memory = SignalMemory()
+        remember_signals(memory, ("t-9", 7), TargetSignals(True, 4.0, True))
+        rows = signals_page(targets, memory)({})
+        shown = [(r["target"], r["leaving"], r["limit_per_s"]) for r in rows]
+        expected = [("t-1", False, 2.0), ("t-2", True, None), ("t-9", True, 4.0)]
+        self.assertThat(shown, Equals(expected))
+        self.assertThat(rows[0]["ready_in_s"], Equals(0.5))
--- a/tests/test_process_cli.py
+++ b/tests/test_process_cli.py
@@ -31,7 +31,7 @@
             for number in (n.number for n in fleet.nodes):
                 page = fleet.admin(number, "/configuration")
                 self.assertThat(page["routes_version"], Equals(2))
-            for page in ("nodes", "targets", "tables"):
+            for page in ("nodes", "targets", "tables", "signals"):
                 shown = CliRunner().invoke(app, ["show", page, *node])
                 self.assertThat(shown.exit_code, Equals(0), page)
             url = ["GET", "http://x.example/read/1", "--json"]
--- a/tests/test_rate_limit.py
+++ b/tests/test_rate_limit.py
@@ -138,7 +138,7 @@
                 self.assertThat(refusal.retry_after_s or 0.0, GreaterThan(0.4))
 
     def test_refusal_without_a_limit_has_another_reason(self) -> None:
-        """Load pattern: a request that arrives after its deadline, without any limit."""
+        """Load pattern: a request after its deadline, at a target without a limit."""
 
         async def main(make_control: MakeControl) -> Reason:
             loop = asyncio.get_running_loop()
