Name limits and leave by response in the soak, and check what targets get

Targets name limits for 5 to 9 s, and two in five replaced targets say that they leave only in their responses, among kills, pauses and stops. The checks count arrivals per target from nodes that have passed the news on. tests/test_soak.py passes.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -1,5 +1,6 @@
 """Checks of a finished soak against the guarantees of the fleet."""
 
+from bisect import bisect_left
 from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
 from typing import NamedTuple
@@ -12,6 +13,16 @@
 DRAIN_S = 2.0
 # Without faults, a configuration is in force this long after it was written.
 IN_FORCE_S = 2.0
+# A limit binds this long after the target first named it.
+LIMIT_BINDS_AFTER_S = 3.0
+# A caller's node counts once it has passed the limit on for this long.
+LIMIT_KNOWN_AFTER_S = 0.5
+# In any window a target gets at most this many times what its limit allows, and a few
+# requests more.
+LIMIT_WINDOW_S = 4.0
+LIMIT_TOLERANCE = 1.5
+LIMIT_EXTRA_REQUESTS = 5
+PROCESS_FAULTS = frozenset({"kill", "stop", "pause"})
 # Time after the end of a fault until its effects are over.
 FAULT_EFFECT_S = 4.0
 
@@ -34,6 +45,22 @@
     planned: bool = False
 
 
+class NamedLimit(NamedTuple):
+    """A span of time in which a target named a limit in its responses.
+
+    Attributes:
+        target: Target id.
+        per_s: Requests per second.
+        started_at: Start of the span, by the loop's clock in seconds.
+        ended_at: End of the span.
+    """
+
+    target: str
+    per_s: float
+    started_at: float
+    ended_at: float
+
+
 class SoakRecord(NamedTuple):
     """What callers, targets and faults recorded during a soak.
 
@@ -43,6 +70,10 @@
         withdrawn_at_by_target: Time at which the leaving of a target was acknowledged.
         faults: Faults in order of their start.
         configured_at_by_path: Time at which each extra route was written.
+        arrivals_by_id: Target and time of each arrival, run or not, by request id.
+        limits: Limits that targets named.
+        said_leaving_at_by_target: Time from which a target said in its responses that
+            it was leaving.
     """
 
     outcomes: Sequence[RequestOutcome]
@@ -50,6 +81,9 @@
     withdrawn_at_by_target: Mapping[str, float]
     faults: Sequence[Fault]
     configured_at_by_path: Mapping[str, float]
+    arrivals_by_id: Mapping[str, Sequence[tuple[str, float]]] = {}
+    limits: Sequence[NamedLimit] = ()
+    said_leaving_at_by_target: Mapping[str, float] = {}
 
 
 def find_violations(record: SoakRecord) -> list[str]:
@@ -61,6 +95,8 @@
         *_find_work_after_leaving(record),
         *_find_requests_cut_by_planned_stops(record),
         *_find_configuration_errors(record),
+        *_find_requests_above_limits(record),
+        *_find_requests_after_leaving_was_said(record),
     ]
 
 
@@ -163,3 +199,74 @@
         if undisturbed and removed_late and outcome.status == 200:
             violations.append(f"removed route still in force: {outcome}")
     return violations
+
+
+def _told_at_by_node(record: SoakRecord, target: str, since: float) -> dict[int, float]:
+    """Return when each node first passed on a response of a target.
+
+    Args:
+        record: The soak.
+        target: Target id.
+        since: Only requests that arrived at the target later count.
+    """
+    told_at_by_node: dict[int, float] = {}
+    for outcome in record.outcomes:
+        arrivals = record.arrivals_by_id.get(outcome.request_id, ())
+        if outcome.detail.startswith(f"signed.{target}.") and any(
+            name == target and at > since for name, at in arrivals
+        ):
+            told_at = told_at_by_node.get(outcome.node, float("inf"))
+            told_at_by_node[outcome.node] = min(told_at, outcome.ended_at)
+    return told_at_by_node
+
+
+def _is_node_disturbed(
+    record: SoakRecord, node: int, started_at: float, ended_at: float
+) -> bool:
+    """Whether a node was restarted or paused in a span of time."""
+    return any(
+        fault.kind in PROCESS_FAULTS
+        and fault.node == node
+        and fault.started_at < ended_at
+        and fault.ended_at > started_at
+        for fault in record.faults
+    )
+
+
+def _find_requests_above_limits(record: SoakRecord) -> list[str]:
+    violations = []
+    for limit in record.limits:
+        told_at_by_node = _told_at_by_node(record, limit.target, limit.started_at)
+        times = sorted(
+            at
+            for outcome in record.outcomes
+            for target, at in record.arrivals_by_id.get(outcome.request_id, ())
+            if target == limit.target
+            and limit.started_at + LIMIT_BINDS_AFTER_S <= at <= limit.ended_at
+            and at > told_at_by_node.get(outcome.node, at) + LIMIT_KNOWN_AFTER_S
+            and not _is_node_disturbed(record, outcome.node, limit.started_at, at)
+        )
+        allowed = LIMIT_TOLERANCE * limit.per_s * LIMIT_WINDOW_S + LIMIT_EXTRA_REQUESTS
+        most = max(
+            (bisect_left(times, at + LIMIT_WINDOW_S) - n for n, at in enumerate(times)),
+            default=0,
+        )
+        if most > allowed:
+            violations.append(f"{most} requests in 4 s, {allowed} allowed: {limit}")
+    return violations
+
+
+def _find_requests_after_leaving_was_said(record: SoakRecord) -> list[str]:
+    violations = []
+    for target, since in record.said_leaving_at_by_target.items():
+        told_at_by_node = _told_at_by_node(record, target, since)
+        for outcome in record.outcomes:
+            told_at = told_at_by_node.get(outcome.node, float("inf"))
+            violations += [
+                f"reached {target} after its leaving was passed on: {outcome}"
+                for name, at in record.arrivals_by_id.get(outcome.request_id, ())
+                if name == target
+                and outcome.sent_at > told_at + DRAIN_S
+                and not _is_node_disturbed(record, outcome.node, told_at, at)
+            ]
+    return violations
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,11 +8,13 @@
 from siskinlug_platform.configuration import KEY, TOPIC
 from standin.site import Site, configuration
 
-from soak.checks import Fault
+from soak.checks import Fault, NamedLimit
 
 # Time after which the platform restarts a process.
 RESTART_S = 0.4
 STORE_FAULTS = ("busy", "reset", "lost", "malformed")
+# Share of replaced targets that say that they leave only in their responses.
+SILENT_LEAVING_SHARE = 0.4
 TARGET_FAULTS = ("fails", "sheds", "cuts", "loses")
 
 
@@ -25,6 +27,8 @@
         self.faults: list[Fault] = []
         self.withdrawn_at_by_target: dict[str, float] = {}
         self.configured_at_by_path: dict[str, float] = {}
+        self.limits: list[NamedLimit] = []
+        self.said_leaving_at_by_target: dict[str, float] = {}
         self.nodes_under_fault: set[int] = set()
         self.version = 3
 
@@ -118,15 +122,24 @@
     """Withdraw a target and announce a new incarnation of it with another id."""
     node = context.random.choice(list(context.site.target_by_node))
     target = context.site.target_by_node[node]
-    if target.withdrawn:
+    if target.withdrawn or target.says_leaving:
         return
     leaving = target.target_id
-    if await target.withdraw(context.site.heartbeat_address(node)) != 200:
-        target.withdrawn = False
-        return
-    started_at = _now()
-    context.withdrawn_at_by_target[leaving] = started_at
-    await asyncio.sleep(context.random.uniform(2.5, 4.0))
+    if context.random.random() < SILENT_LEAVING_SHARE:
+        # Its heartbeats go on, so that only its responses say that it leaves.
+        started_at = context.said_leaving_at_by_target[leaving] = _now()
+        target.says_leaving = True
+        await asyncio.sleep(context.random.uniform(3.0, 6.0))
+        target.says_leaving = False
+        if target.withdrawn or target.target_id != leaving:
+            return
+    else:
+        if await target.withdraw(context.site.heartbeat_address(node)) != 200:
+            target.withdrawn = False
+            return
+        started_at = _now()
+        context.withdrawn_at_by_target[leaving] = started_at
+        await asyncio.sleep(context.random.uniform(2.5, 4.0))
     target.target_id = f"{leaving.partition('.')[0]}.{context.random.randrange(10**6)}"
     target.born += 60_000
     target.sequence = 0
@@ -134,6 +147,19 @@
     context.faults.append(Fault("replace", node, started_at, _now(), planned=True))
 
 
+async def _limit_target(context: FaultContext) -> None:
+    node = context.random.choice(list(context.site.target_by_node))
+    target, started_at = context.site.target_by_node[node], _now()
+    if target.limit_per_s:
+        return
+    per_s = round(context.random.uniform(0.5, 4.0), 1)
+    name, target.limit_per_s = target.target_id, str(per_s)
+    await asyncio.sleep(context.random.uniform(5.0, 9.0))
+    target.limit_per_s = ""
+    context.limits.append(NamedLimit(name, per_s, started_at, _now()))
+    context.faults.append(Fault("limit", node, started_at, _now(), planned=True))
+
+
 async def _publish_configuration(context: FaultContext) -> None:
     context.version += context.random.randint(1, 3)
     path = f"/extra-{context.version}/"
@@ -148,7 +174,8 @@
     (_pause_node, 1.0),
     (_disturb_store, 1.0),
     (_disturb_target, 2.5),
-    (_replace_target, 1.0),
+    (_replace_target, 1.5),
+    (_limit_target, 1.5),
     (_publish_configuration, 1.0),
 )
 
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -2,11 +2,13 @@
 
 import asyncio
 from collections import Counter, defaultdict
+from collections.abc import Iterable
 from pathlib import Path
 from random import Random
 from typing import NamedTuple
 
 from standin.site import CALLER_PORT, HOST, Site, open_site
+from standin.target import Run
 
 from soak.callers import ConnectionPool, RequestOutcome, send_request
 from soak.checks import FAULT_EFFECT_S, SoakRecord, find_violations
@@ -68,10 +70,15 @@
         connection_pool.close()
         record = SoakRecord(
             outcomes,
-            _runs_by_id(site),
+            _group_by_id(run for t in site.target_by_node.values() for run in t.runs),
             context.withdrawn_at_by_target,
             sorted(context.faults, key=lambda fault: fault.started_at),
             context.configured_at_by_path,
+            _group_by_id(
+                run for t in site.target_by_node.values() for run in t.arrivals
+            ),
+            context.limits,
+            context.said_leaving_at_by_target,
         )
         return Report(
             seed,
@@ -81,11 +88,11 @@
         )
 
 
-def _runs_by_id(site: Site) -> dict[str, list[tuple[str, float]]]:
+def _group_by_id(runs: Iterable[Run]) -> dict[str, list[tuple[str, float]]]:
+    """Return target and time of each run or arrival, by request id."""
     runs_by_id: dict[str, list[tuple[str, float]]] = defaultdict(list)
-    for target in site.target_by_node.values():
-        for run in target.runs:
-            runs_by_id[run.request_id].append((run.target, run.at))
+    for run in runs:
+        runs_by_id[run.request_id].append((run.target, run.at))
     return runs_by_id
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,7 +7,7 @@
 from testtools.matchers import Equals, HasLength
 
 from soak.callers import RequestOutcome
-from soak.checks import Fault, SoakRecord, find_violations
+from soak.checks import Fault, NamedLimit, SoakRecord, find_violations
 from soak.runner import run_soak
 
 GOOD = RequestOutcome(
@@ -86,6 +86,44 @@
         )
         self._assert_found(EMPTY._replace(outcomes=[back], configured_at_by_path=paths))
 
+    def _series(self, times: list[float], *, node: int = 1) -> SoakRecord:
+        """Return a record of requests that reached ``i-1`` at these times."""
+        outcomes = [
+            GOOD._replace(
+                request_id=f"s-{n}",
+                node=node,
+                at_most_once=False,
+                sent_at=at,
+                ended_at=at + 0.1,
+                detail=f"signed.i-1.s-{n} from i-1",
+            )
+            for n, at in enumerate(times)
+        ]
+        arrivals = {f"s-{n}": [("i-1", at)] for n, at in enumerate(times)}
+        return EMPTY._replace(outcomes=outcomes, arrivals_by_id=arrivals)
+
+    def test_requests_above_a_named_limit(self) -> None:
+        """Guards against missing a target that gets more than it has asked for."""
+        times = [10.5 + 0.3 * n for n in range(40)]
+        limit = NamedLimit("i-1", 1.0, 10.0, 25.0)
+        record = self._series(times)._replace(limits=[limit])
+        self._assert_found(record)
+        few = self._series([10.5 + n for n in range(12)])._replace(limits=[limit])
+        self.assertThat(find_violations(few), Equals([]))
+        killed = record._replace(faults=[Fault("kill", 1, 10.6, 11.0)])
+        self.assertThat(find_violations(killed), Equals([]))
+
+    def test_request_after_leaving_was_said(self) -> None:
+        """Guards against missing requests to a target whose responses say it leaves."""
+        leaving = {"i-1": 10.0}
+        record = self._series([10.5, 11.0, 13.0])
+        self._assert_found(record._replace(said_leaving_at_by_target=leaving))
+        soon = self._series([10.5, 11.0, 12.0])
+        soon = soon._replace(said_leaving_at_by_target=leaving)
+        self.assertThat(find_violations(soon), Equals([]))
+        other = self._series([9.0, 13.0])._replace(said_leaving_at_by_target=leaving)
+        self.assertThat(find_violations(other), Equals([]))
+
 
 @pytest.mark.processes
 class SoakTest(testtools.TestCase):
