Remember targets that leave for good in the whole fleet

A withdrawal that reached a restarted owner before any heartbeat, or after the lease, was not kept at all.

Change: LeavingTargets holds the withdrawn targets and those that said Server-Leaving, by id and incarnation. Heartbeats between nodes repeat them for 60 s, so a restarted node learns them within its first heartbeats, and entries keep away meanwhile. The memory of an entry for Server-Leaving is part of it. A withdrawal of an unknown target counts for all incarnations that have started by then.

Tests: with the rule removed, test_withdrawn_target_stays_away_after_its_node_restarts and three tests in test_announcement_order fail ('ready' != 'leaving'); all pass now. Not covered: all nodes restart at once. Cost in a heartbeat: about 30 bytes for each target that left in the last minute, 32 at most; nothing otherwise.

--- a/siskinlug/admin.py
+++ b/siskinlug/admin.py
@@ -113,7 +113,7 @@
 
     Args:
         targets: Targets of this node, whose limits it keeps.
-        memory: What this node remembers of targets from responses that it passed on.
+        memory: What this node remembers of targets of other nodes.
     """
 
     def page(_query: Mapping[str, str]) -> Any:
@@ -137,7 +137,8 @@
                 "limit_per_s": memory.limit_by_target.get(process),
                 "ready_in_s": None,
             }
-            for process in memory.limit_by_target.keys() | memory.leaving.keys()
+            for process in memory.limit_by_target.keys() | memory.leaving.processes()
+            if process[0] not in targets.owned_by_target
         ]
         return own + remembered
 
@@ -206,7 +207,7 @@
     if target.state != "ready":
         return f"it is {target.state}"
     if (target.target, target.incarnation) in memory.leaving:
-        return "a response said that it is leaving"
+        return "it has said that it is leaving"
     if "*" in target.ejected or route in target.ejected:
         return "it is ejected"
     return ""
--- a/siskinlug/announcements.py
+++ b/siskinlug/announcements.py
@@ -17,6 +17,7 @@
 from siskinlug.directory import TargetRecord
 from siskinlug.evidence import Evidence, make_evidence
 from siskinlug.health_estimate import HealthEstimate, make_health_estimate
+from siskinlug.leaving_targets import make_leaving_targets
 from siskinlug.messages import Announcement, AnnouncementAnswer
 from siskinlug.rate_limit import RateLimit, make_rate_limit
 from siskinlug.verdict import Reason
@@ -86,6 +87,9 @@
         monotonic: Clock in seconds.
         limits_of: Returns the admission limits of the target of an announcement.
         lease_s: Duration of a lease, in seconds.
+
+    Attributes:
+        leaving: Targets of the fleet that leave for good, as known to this node.
     """
 
     def __init__(
@@ -100,6 +104,7 @@
         self.lease_s = lease_s
         self.owned_by_target: dict[str, OwnedTarget] = {}
         self.former_by_target: OrderedDict[str, FormerTarget] = OrderedDict()
+        self.leaving = make_leaving_targets(monotonic=monotonic)
 
     def get_leased(self, target: str) -> OwnedTarget | None:
         """Return a target whose lease has not expired, or ``None``."""
@@ -131,10 +136,11 @@
 
     A new incarnation of a target starts with an empty admission queue and no evidence;
     requests queued for the old one are refused as not run. A leaving target stays
-    leaving until its next incarnation, or until it comes back from another owner. An
-    incarnation whose lease had expired keeps the limit that it named. If two targets
-    announce the same address, it belongs to the one that started later. A renewal that
-    was overtaken by a newer one, as its sequence number shows, changes nothing.
+    leaving until its next incarnation, or until it comes back from another owner; one
+    that leaves for good stays leaving at every owner. An incarnation whose lease had
+    expired keeps the limit that it named. If two targets announce the same address, it
+    belongs to the one that started later. A renewal that was overtaken by a newer one,
+    as its sequence number shows, changes nothing.
 
     Args:
         targets: Targets of this node.
@@ -147,6 +153,8 @@
     """
     if error := _validation_error(message):
         return Failure(error)
+    if (message["target"], message["incarnation"]) in targets.leaving:
+        message = {**message, "state": "leaving"}
     known = targets.owned_by_target.get(message["target"])
     if known and message["incarnation"] < known.announcement["incarnation"]:
         return Failure("an incarnation that started later has announced")
@@ -193,13 +201,24 @@
     return Success(answer)
 
 
-def mark_target_leaving(targets: OwnedTargets, target: str) -> bool:
-    """Mark a target as leaving, so that it gets no further requests.
+def mark_target_leaving(
+    targets: OwnedTargets, target: str, *, latest_incarnation: int
+) -> bool:
+    """Mark a target as leaving for good, so that it gets no further requests.
+
+    Args:
+        targets: Targets of this node.
+        target: Target id.
+        latest_incarnation: Incarnation that is leaving if the target has not announced
+            itself to this process, as after a restart.
 
     Returns:
-        Whether the target is known.
+        Whether this node owns the target.
     """
     known = targets.owned_by_target.get(target)
+    former = known or targets.former_by_target.get(target)
+    incarnation = former.announcement["incarnation"] if former else latest_incarnation
+    targets.leaving.add(target, incarnation)
     if known is None:
         return False
     close(known.admission, Reason.TARGET_LEAVING)
--- a/siskinlug/entry_state.py
+++ b/siskinlug/entry_state.py
@@ -180,7 +180,7 @@
         self.service_times_by_route: dict[str, deque[float]] = {}
         self.usual_bytes_by_route: dict[str, float] = {}
         self.avoid_until_by_target: dict[str, float] = {}
-        self.signals = SignalMemory()
+        self.signals = SignalMemory(owner.targets.leaving)
         self.last_id = 0
         self.stop_at = math.inf
         self.started_at = monotonic()
--- a/siskinlug/node.py
+++ b/siskinlug/node.py
@@ -42,10 +42,12 @@
 )
 from siskinlug.entry_state import Entry
 from siskinlug.inbound import InboundServer
+from siskinlug.leaving_targets import Leaving
 from siskinlug.links import link_up
 from siskinlug.load_balancing import make_load_balancer
 from siskinlug.load_poll import make_polls
 from siskinlug.log_client import Log, open_log
+from siskinlug.logs import log_event
 from siskinlug.membership import (
     Payload,
     change_own,
@@ -216,6 +218,12 @@
                         merge_suspicions(self.quarantine, received)
                     ),
                 ),
+                Payload(
+                    name="leaving",
+                    value_type=list[Leaving],
+                    write=lambda _urgent: self.targets.leaving.to_gossip() or None,
+                    read=partial(_learn_leaving, self),
+                ),
             ],
         )
         self.ejection_monitor = _make_ejection_monitor(self)
@@ -437,13 +445,32 @@
     """Stop sending requests to a target until its next incarnation.
 
     Args:
-        node: The node that owns the target.
+        node: The node that the target has told.
         target: Target id.
         detail: How the node learned of it.
     """
-    if mark_target_leaving(node.targets, target):
+    now_ms = wall_clock_ms()
+    if mark_target_leaving(node.targets, target, latest_incarnation=now_ms):
         record_event(node.timeline, Kind.TARGET_LEAVING, target, detail)
         publish_targets(node.ejection_monitor)
+    else:
+        log_event("unknown_target_leaving", target=target, detail=detail)
+    push_payload(node.membership, "leaving")
+
+
+def _learn_leaving(node: Node, peer: str, received: list[Leaving]) -> bool:
+    """Merge what another node remembers of leaving targets.
+
+    Returns:
+        Whether any of it was news.
+    """
+    news = node.targets.leaving.merge(received)
+    for leaving in news:
+        log_event("target_leaving_learned", peer=peer, **leaving._asdict())
+        owned = node.targets.owned_by_target.get(leaving.target)
+        if owned and owned.announcement["incarnation"] <= leaving.incarnation:
+            mark_leaving(node, leaving.target, f"{peer} remembers it")
+    return bool(news)
 
 
 def _apply_admission_limits(node: Node) -> None:
--- a/siskinlug/target_signals.py
+++ b/siskinlug/target_signals.py
@@ -12,6 +12,7 @@
 from tornado.httputil import HTTPHeaders
 
 from siskinlug.dialect import Dialect
+from siskinlug.leaving_targets import LeavingTargets
 from siskinlug.logs import log_event
 
 _MAX_LOGGED_CHARS = 32
@@ -74,12 +75,12 @@
 
     Attributes:
         limit_by_target: Named limits in requests per second.
-        leaving: Targets that have said that they are leaving.
+        leaving: Targets that are leaving, as known to this node.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, leaving: LeavingTargets) -> None:
         self.limit_by_target: OrderedDict[TargetProcess, float] = OrderedDict()
-        self.leaving: OrderedDict[TargetProcess, None] = OrderedDict()
+        self.leaving = leaving
 
 
 def remember_signals(
@@ -97,7 +98,6 @@
     elif not signals.names_limit:
         memory.limit_by_target.pop(target, None)
     if signals.leaving:
-        memory.leaving[target] = None
-    for remembered in (memory.limit_by_target, memory.leaving):
-        if len(remembered) > _MAX_REMEMBERED:
-            remembered.popitem(last=False)
+        memory.leaving.add(*target)
+    if len(memory.limit_by_target) > _MAX_REMEMBERED:
+        memory.limit_by_target.popitem(last=False)
--- a/tests/test_announcement_order.py
+++ b/tests/test_announcement_order.py
@@ -14,6 +14,7 @@
     mark_target_leaving,
 )
 from siskinlug.deadline_queue import DeadlineAdmission
+from siskinlug.leaving_targets import Leaving
 from siskinlug.messages import Announcement
 from siskinlug.verdict import Reason
 
@@ -60,7 +61,7 @@
     def test_leaving_target_ignores_ready_renewal(self) -> None:
         """Guards against a leaving target made ready by its own next renewal."""
         self._announce()
-        mark_target_leaving(self.targets, "t-1")
+        mark_target_leaving(self.targets, "t-1", latest_incarnation=0)
         self._announce(sequence=9)
         self.assertThat(self._state(), Equals("leaving"))
 
@@ -70,7 +71,7 @@
         The renewal was delayed for longer than the lease, or the target still sends it.
         """
         self._announce()
-        mark_target_leaving(self.targets, "t-1")
+        mark_target_leaving(self.targets, "t-1", latest_incarnation=0)
         self.now += LEASE_S + 1.0
         self.assertThat(drop_expired_targets(self.targets), Equals(["t-1"]))
         self._announce(sequence=9)
@@ -107,7 +108,7 @@
         Its sequence numbers start again from zero.
         """
         self._announce()
-        mark_target_leaving(self.targets, "t-1")
+        mark_target_leaving(self.targets, "t-1", latest_incarnation=0)
         self._announce(incarnation=200, sequence=0)
         self.assertThat(self._state(), Equals("ready"))
 
@@ -139,7 +140,35 @@
     def test_leaving_target_stays_closed_when_queue_type_changes(self) -> None:
         """Guards against new requests to a leaving target after a change of tables."""
         self._announce()
-        mark_target_leaving(self.targets, "t-1")
+        mark_target_leaving(self.targets, "t-1", latest_incarnation=0)
         limits = AdmissionLimits(4, 8, 2.0, queue_by_deadline=True)
         owned = apply_limits(self.targets.owned_by_target["t-1"], limits)
         self.assertThat(owned.admission.closed, Equals(Reason.TARGET_LEAVING))
+
+    def test_restarted_owner_stays_away_from_a_target_that_had_left(self) -> None:
+        """Guards against a late renewal that reaches an owner which has restarted.
+
+        Another node remembers that the target is leaving for good.
+        """
+        self.targets.leaving.merge([Leaving("t-1", 100, 1.5)])
+        self._announce(sequence=5)
+        self.assertThat(self._state(), Equals("leaving"))
+        self._announce(incarnation=200, sequence=0)
+        self.assertThat(self._state(), Equals("ready"))
+
+    def test_target_that_withdraws_before_it_has_announced_stays_away(self) -> None:
+        """Guards against a late renewal after a withdrawal at a restarted owner."""
+        mark_target_leaving(self.targets, "t-1", latest_incarnation=150)
+        self._announce(incarnation=100)
+        self.assertThat(self._state(), Equals("leaving"))
+        self._announce(incarnation=200, sequence=0)
+        self.assertThat(self._state(), Equals("ready"))
+
+    def test_target_that_withdraws_after_its_lease_stays_away(self) -> None:
+        """Guards against a withdrawal that is ignored since renewals were late."""
+        self._announce()
+        self.now += LEASE_S + 1.0
+        drop_expired_targets(self.targets)
+        mark_target_leaving(self.targets, "t-1", latest_incarnation=0)
+        self._announce(sequence=9)
+        self.assertThat(self._state(), Equals("leaving"))
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -193,8 +193,8 @@
             )
             accept_announcement(targets, announcement, alternatives=())
         targets.owned_by_target["t-1"].admission.rate_limit.name(2.0)
-        mark_target_leaving(targets, "t-2")
-        memory = SignalMemory()
+        mark_target_leaving(targets, "t-2", latest_incarnation=0)
+        memory = SignalMemory(targets.leaving)
         remember_signals(memory, ("t-9", 7), TargetSignals(True, 4.0, True))
         rows = signals_page(targets, memory)({})
         shown = [(r["target"], r["leaving"], r["limit_per_s"]) for r in rows]
--- a/tests/test_rate_limit.py
+++ b/tests/test_rate_limit.py
@@ -15,6 +15,7 @@
 from siskinlug.admission import AdmissionControl, Ticket, make_admission, open_slot
 from siskinlug.deadline_queue import make_deadline_admission
 from siskinlug.dialect import DEFAULT_DIALECT
+from siskinlug.leaving_targets import make_leaving_targets
 from siskinlug.rate_limit import (
     MAX_PERMIT_AGE_S,
     MIN_RATE_PER_S,
@@ -321,7 +322,7 @@
 
     def test_an_unreadable_limit_ends_no_limit(self) -> None:
         """Guards against a garbled header that takes a limit away."""
-        memory = SignalMemory()
+        memory = SignalMemory(make_leaving_targets(monotonic=lambda: 0.0))
         target = ("t", 1)
         remember_signals(memory, target, TargetSignals(True, 2.0))
         remember_signals(memory, target, TargetSignals(True, None))
@@ -331,7 +332,7 @@
 
     def test_a_leaving_target_is_remembered_until_its_next_incarnation(self) -> None:
         """Guards against a leaving target that one plain response brings back."""
-        memory = SignalMemory()
+        memory = SignalMemory(make_leaving_targets(monotonic=lambda: 0.0))
         remember_signals(memory, ("t", 1), TargetSignals(leaving=True))
         remember_signals(memory, ("t", 1), TargetSignals())
         self.assertIn(("t", 1), memory.leaving)
--- a/tests/test_stopping_entry.py
+++ b/tests/test_stopping_entry.py
@@ -14,6 +14,7 @@
 from bench.virtual_time import run_virtual
 from siskinlug import target_selection
 from siskinlug.entry_state import Placement
+from siskinlug.leaving_targets import make_leaving_targets
 from siskinlug.load_balancing import Candidate
 from siskinlug.tables import Pool, Route
 from siskinlug.target_signals import SignalMemory
@@ -36,7 +37,7 @@
             directory=SimpleNamespace(own_node="n-0", record_by_node={})
         ),
         budget_by_pool={},
-        signals=SignalMemory(),
+        signals=SignalMemory(make_leaving_targets(monotonic=clock)),
         usual_bytes_by_route={},
         service_times_by_route={"r": deque([1.0] * 8)},
     )
