Do not use a connection again on which more than the response has arrived

Callers could get an answer that was not their own: a target that answers a request twice, in one packet or late on a kept connection, left the second copy in the connection's buffer, and the next request on it took it for its own response. On the platform the echoed request id turned that into a lost request, which a booking cannot repeat; in siskinlug's own dialect, which has no echo, the wrong answer was delivered.

Cause: the pool kept each connection whose response was complete and never asked whether anything had arrived since. It now closes a connection with unread bytes, or whose peer has closed or reset it, when it is returned and when it is taken.

Two tests of test_endless_answers failed before ('/a' != '/b'), and one timed out. A copy that arrives after the next request was sent is told apart by its id only.

--- a/siskinlug/connections.py
+++ b/siskinlug/connections.py
@@ -7,6 +7,7 @@
 from datetime import timedelta
 from typing import NamedTuple
 
+from absl import logging
 from returns.result import Failure, Result, Success
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpclient import TCPClient
@@ -74,7 +75,9 @@
     def take_idle(self, address: Address, max_idle_s: float) -> IOStream | None:
         """Remove and return the most recently used idle stream to an address.
 
-        Streams that were idle for longer than ``max_idle_s`` are closed.
+        Streams that were idle for longer than ``max_idle_s`` are closed, and those on
+        which the peer has sent anything since, which the next user would take for the
+        response to its own request.
 
         Args:
             address: Host and port.
@@ -88,18 +91,24 @@
             stream, since = idle.pop()
             if stream.closed():
                 continue
-            if self.monotonic() - since <= max_idle_s:
+            if self.monotonic() - since <= max_idle_s and not _has_unread(stream):
                 stream.set_close_callback(None)
                 return stream
             stream.close()
         return None
 
     def put_idle(self, stream: IOStream, address: Address) -> None:
-        """Return a stream to the pool, or close it if the pool is full or closed."""
-        idle = self.idle_by_address.setdefault(address, deque())
-        if self.closed or len(idle) >= MAX_IDLE_PER_ADDRESS:
+        """Return a stream to the pool, or close it.
+
+        It is closed if the pool is full or closed, or if the peer has sent more than
+        the response.
+        """
+        idle = self.idle_by_address.get(address, deque())
+        is_full = len(idle) >= MAX_IDLE_PER_ADDRESS
+        if self.closed or is_full or _has_unread(stream):
             stream.close()
             return
+        self.idle_by_address[address] = idle
         # A close callback also makes tornado watch the idle stream for a close by the
         # peer, which it would not notice without a pending read.
         stream.set_close_callback(lambda: self._remove_idle(stream, address))
@@ -141,6 +150,23 @@
     return ConnectionPool(monotonic=monotonic)
 
 
+def _has_unread(stream: IOStream) -> bool:
+    """Whether bytes have arrived that nobody has read, or the end of the connection.
+
+    Tornado has no public way to tell what it has buffered.
+    """
+    if stream._read_buffer_size > 0:
+        return True
+    try:
+        stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError as error:
+        # The stream has not noticed yet that its peer has reset the connection.
+        logging.debug("an idle connection failed: %s", error)
+    return True
+
+
 def _enable_keepalive(stream: IOStream) -> None:
     """Let the kernel close the connection if its peer no longer acknowledges."""
     for option, value in _TCP_OPTIONS:
