Test that bytes without end neither fill memory nor reach a caller

Heads, headers, interim responses and bodies without end, and bytes after a response or on an idle connection, from a raw target that sends until its caller closes.

--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -76,6 +76,14 @@
             return b"".join(chunks).decode()
 
 
+async def _wait_until_constant(count: list[int]) -> None:
+    """Wait until a count has grown and then stays the same."""
+    before = 0
+    while not count[0] or count[0] != before:
+        before = count[0]
+        await asyncio.sleep(0.2)
+
+
 class _RawTargetTest(testtools.TestCase):
     def _run(self, test: Callable[[ConnectionPool], Awaitable[None]]) -> None:
         async def main() -> None:
@@ -224,6 +232,34 @@
         self._run(test)
         self.assertThat(sent[0], LessThan(MAX_TAKEN_BYTES))
 
+    def test_bytes_on_an_idle_connection_are_bounded(self) -> None:
+        """Guards against an idle connection that fills the memory of the node."""
+        late = asyncio.Event()
+        sent = [0]
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            path = await _read_request(reader)
+            writer.write(_answer(path))
+            await late.wait()
+            while path == "/a":
+                writer.write(FLOOD_CHUNK)
+                await writer.drain()
+                sent[0] += len(FLOOD_CHUNK)
+
+        async def test(pool: ConnectionPool) -> None:
+            async with _open_raw_target(serve) as (address, errors):
+                self.assertThat(await _fetch(pool, address, "/a"), Equals("/a"))
+                late.set()
+                await _wait_until_constant(sent)
+                self.assertThat(sent[0], LessThan(MAX_TAKEN_BYTES))
+                self.assertThat(await _fetch(pool, address, "/b"), Equals("/b"))
+                while not errors:
+                    await asyncio.sleep(0.01)
+
+        self._run(test)
+
     def test_body_that_nobody_reads_is_not_buffered(self) -> None:
         """Guards against a body without end that is buffered for a slow caller."""
         head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -242,10 +278,7 @@
                     first_byte_timeout_s=10.0,
                 ) as result:
                     self.assertIsInstance(result, Success)
-                    before = -1
-                    while sent[0] != before:
-                        before = sent[0]
-                        await asyncio.sleep(0.2)
+                    await _wait_until_constant(sent)
                     self.assertThat(sent[0], LessThan(MAX_TAKEN_BYTES))
                 with suppress(TimeoutError):
                     async with asyncio.timeout(5.0):
