Repeat responses, flood heads, delay heartbeats and silence the store in the soak

Targets send a response again a moment later, or a header without end; after half of the withdrawals a heartbeat from before arrives late; the store may give no response.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -12,10 +12,12 @@
 
 # Time after which the platform restarts a process.
 RESTART_S = 0.4
-STORE_FAULTS = ("busy", "reset", "lost", "malformed")
+STORE_FAULTS = ("busy", "reset", "lost", "malformed", "silent")
 # Share of replaced targets that say that they leave only in their responses.
 SILENT_LEAVING_SHARE = 0.4
-TARGET_FAULTS = ("fails", "sheds", "cuts", "loses")
+TARGET_FAULTS = ("fails", "sheds", "cuts", "loses", "repeats", "floods")
+# Share of withdrawals after which a heartbeat from before arrives late.
+LATE_HEARTBEAT_SHARE = 0.5
 
 
 class FaultContext:
@@ -139,7 +141,12 @@
             return
         started_at = _now()
         context.withdrawn_at_by_target[leaving] = started_at
-        await asyncio.sleep(context.random.uniform(2.5, 4.0))
+        serves_until = started_at + context.random.uniform(2.5, 6.0)
+        if context.random.random() < LATE_HEARTBEAT_SHARE:
+            await asyncio.sleep(context.random.uniform(0.2, 1.5))
+            target.sequence -= 2
+            await target.announce(context.site.heartbeat_address(node))
+        await asyncio.sleep(max(serves_until - _now(), 0.0))
     target.target_id = f"{leaving.partition('.')[0]}.{context.random.randrange(10**6)}"
     target.born += 60_000
     target.sequence = 0
