Refuse malformed numbers and keys from sockets instead of failing on them

One cause: numbers and texts were converted without asking for what the conversion cannot take. Nothing changes for messages that are well-formed.

--- a/siskinlug/clock.py
+++ b/siskinlug/clock.py
@@ -7,6 +7,8 @@
 _NS_PER_MS = 1_000_000
 # Remote times further ahead than this are ignored.
 CLOCK_LEAD_MAX_MS = 60_000
+# A time in milliseconds and a counter, each far below what 64 bits hold.
+_MAX_HEADER_CHARS = 40
 
 
 class Timestamp(NamedTuple):
@@ -59,6 +61,8 @@
 
 def observe_time_header(clock: HybridClock, value: str | None) -> None:
     """Observe the time in a header; a malformed or absent one is ignored."""
-    wall_ms, _, counter = (value or "").partition(",")
+    if value is None or len(value) > _MAX_HEADER_CHARS:
+        return
+    wall_ms, _, counter = value.partition(",")
     if wall_ms.isdecimal() and counter.isdecimal():
         observe_remote_time(clock, Timestamp(int(wall_ms), int(counter)))
--- a/siskinlug/inbound.py
+++ b/siskinlug/inbound.py
@@ -31,6 +31,8 @@
 # limit, so that limit is higher than the one that is refused with a response.
 _CODEC_HEADER_FACTOR = 2
 _CODEC_MAX_BODY_BYTES = 1 << 50
+# A length with more digits is above every limit.
+_MAX_LENGTH_DIGITS = 18
 # Pause between two checks for idle connections while a server drains.
 DRAIN_PAUSE_S = 0.05
 
@@ -210,7 +212,8 @@
         return _RequestDelegate(self._server, server_conn, request_conn, remote_ip)
 
 
-def _check_head(limits: InboundLimits, head: RequestHead) -> Refusal | None:
+def head_refusal(limits: InboundLimits, head: RequestHead) -> Refusal | None:
+    """Return why a request is refused for its head, or ``None``."""
     size_bytes = len(head.method) + len(head.path)
     size_bytes += sum(
         len(name) + len(value) + 4 for name, value in head.headers.get_all()
@@ -220,7 +223,11 @@
             Reason.HEADERS_TOO_LARGE, f"the limit is {limits.header_bytes} bytes"
         )
     content_length = head.headers.get("Content-Length", "0")
-    if content_length.isdecimal() and int(content_length) > limits.body_bytes:
+    # Python refuses to convert thousands of digits.
+    if content_length.isdecimal() and (
+        len(content_length) > _MAX_LENGTH_DIGITS
+        or int(content_length) > limits.body_bytes
+    ):
         return not_run(Reason.BODY_TOO_LARGE, f"the limit is {limits.body_bytes} bytes")
     return None
 
@@ -228,7 +235,7 @@
 async def _serve_request(server: InboundServer, inbound: InboundRequest) -> None:
     """Serve one request so that a failure never looks like a complete response."""
     try:
-        if refusal := _check_head(server.limits, inbound.head):
+        if refusal := head_refusal(server.limits, inbound.head):
             server.on_limit(refusal.reason.value)
             await send_refusal(inbound, refusal, request_id="")
         else:
--- a/siskinlug/load_poll.py
+++ b/siskinlug/load_poll.py
@@ -117,7 +117,7 @@
         except msgspec.MsgspecError as error:
             log_event("poll_unreadable", write=logging.debug, problem=str(error))
             return
-        if not hmac.compare_digest(message.key, self.key):
+        if not hmac.compare_digest(message.key.encode(), self.key.encode()):
             return
         if isinstance(message, _Answer):
             self._add_reports(message)
--- a/siskinlug/peer_server.py
+++ b/siskinlug/peer_server.py
@@ -3,6 +3,7 @@
 import hmac
 import math
 from collections.abc import Awaitable, Callable, Mapping
+from functools import partial
 
 import msgspec
 from absl import logging
@@ -130,6 +131,31 @@
     await send_answer(inbound, refusal.status, headers)
 
 
+def _read_number(
+    headers: HTTPHeaders, name: str, default: float | None = None
+) -> float:
+    """Return the number in a header.
+
+    Args:
+        headers: The headers.
+        name: Name of the header.
+        default: Value if the header is absent.
+
+    Raises:
+        KeyError: The header is absent and has no default.
+        ValueError: The value is not a finite number.
+    """
+    if default is not None and name not in headers:
+        return default
+    try:
+        value = float(headers[name])
+    except ValueError:
+        value = math.nan
+    if not math.isfinite(value):
+        raise ValueError(f"header {name} is not a finite number")
+    return value
+
+
 def parse_attempt_headers(headers: HTTPHeaders, now: float) -> AttemptRequest:
     """Parse the headers of an attempt.
 
@@ -140,26 +166,25 @@
     Raises:
         ValueError: A header is missing or malformed.
     """
+    number = partial(_read_number, headers)
+    known_limit = headers.get("Siskinlug-Known-Limit")
     try:
-        baseline = headers.get("Siskinlug-Baseline-Ms")
-        usual = headers.get("Siskinlug-Usual-Ms")
-        known_limit = headers.get("Siskinlug-Known-Limit")
         return AttemptRequest(
             attempt=headers["Siskinlug-Attempt"],
             target=headers["Siskinlug-Target"],
             route=headers["Siskinlug-Route"],
             account=headers["Siskinlug-Account"],
-            priority=int(headers["Siskinlug-Priority"]),
+            priority=int(number("Siskinlug-Priority")),
             long_work=headers["Siskinlug-Work"] == "long",
             idempotent=headers["Siskinlug-Idempotent"] == "yes",
-            deadline=now + int(headers["Siskinlug-Deadline-Ms"]) / 1000,
-            baseline_s=float(baseline) / 1000 if baseline else None,
+            deadline=now + number("Siskinlug-Deadline-Ms") / 1000,
+            baseline_s=number("Siskinlug-Baseline-Ms", 0.0) / 1000 or None,
             fingerprint=headers["Siskinlug-Fingerprint"],
-            min_health=float(headers.get("Siskinlug-Least-Sound", 0.0)),
-            usual_s=float(usual) / 1000 if usual else None,
-            wait_limit_s=float(headers.get("Siskinlug-Wait-Limit-Ms", math.inf)) / 1000,
+            min_health=number("Siskinlug-Least-Sound", 0.0),
+            usual_s=number("Siskinlug-Usual-Ms", 0.0) / 1000 or None,
+            wait_limit_s=number("Siskinlug-Wait-Limit-Ms", math.inf) / 1000,
             known_limit_per_s=parse_limit(known_limit) if known_limit else None,
-            due=now + float(headers.get("Siskinlug-Due-Ms", math.inf)) / 1000,
+            due=now + number("Siskinlug-Due-Ms", math.inf) / 1000,
         )
     except KeyError as error:
         raise ValueError(f"header {error} is missing") from None
