Do not steer requests to untested targets that are at their limit

Callers were refused twice with target_limited beside known targets with room: after half of the nodes had restarted, idle untested targets were preferred while they were half of those polled, also when they had named a limit and could take nothing for seconds. Cause: such a target looks idle, since its limit and not its slots keeps requests out. A target with a wait no longer counts as idle and untested.

Found while reading how limits meet the other rules of placement. The new test in test_placement_cost failed before ('limited-0' != 'known').

--- a/siskinlug/placement_cost.py
+++ b/siskinlug/placement_cost.py
@@ -189,7 +189,8 @@
 
 
 def _is_idle_untested(state: TargetState) -> bool:
-    return state.untested and state.in_use == 0
+    # An idle target with a wait has named a limit on its request rate.
+    return state.untested and state.in_use == 0 and state.wait_s <= 0.0
 
 
 def _score_with_retry(
--- a/tests/test_placement_cost.py
+++ b/tests/test_placement_cost.py
@@ -191,6 +191,25 @@
         ]
         self.assertThat(placed, Equals([False, True, False]))
 
+    def test_untested_target_at_its_limit_is_passed_over(self) -> None:
+        """Load pattern: half of the nodes restart while their targets name limits.
+
+        Guards against requests sent to idle targets that must not take them yet, beside
+        a known target with room.
+        """
+        limited = [
+            _state(f"limited-{n}", health=0.7, in_use=0, wait_s=6.0, untested=True)
+            for n in range(3)
+        ]
+        states = [*limited, _state("known", health=0.98, in_use=3)]
+        for profile in (BOOKING, LOOKUP):
+            selected = select_min_cost(states, profile)
+            self.assertThat(_target_id(selected), Equals("known"))
+        self.assertThat(
+            is_healthy_enough(limited[0], idempotent=False, after_wait=False),
+            Equals(False),
+        )
+
     def test_new_target_beside_known_ones_gets_no_booking(self) -> None:
         """Guards against bookings that are risked when most targets are known."""
         states = [
