--- a/soak/faults.py
+++ b/soak/faults.py
@@ -34,15 +34,19 @@
         self.nodes_under_fault: set[int] = set()
         self.version = 3
 
-    def draw_undisturbed_node(self) -> int | None:
-        """Draw a node without a running fault.
+    def undisturbed_nodes(self) -> list[int]:
+        """Return the nodes that may be disturbed now.
 
-        Returns:
-            The number of the node, or ``None`` where only two are left, so that at
-            least two nodes run undisturbed at all times.
+        There are none where only two run without a fault, so that at least two nodes
+        run undisturbed at all times.
         """
         free = [n for n in self.site.process_by_node if n not in self.nodes_under_fault]
-        return self.random.choice(free) if len(free) > 2 else None
+        return free if len(free) > 2 else []
+
+    def draw_undisturbed_node(self) -> int | None:
+        """Draw a node that may be disturbed now, ``None`` if there is none."""
+        nodes = self.undisturbed_nodes()
+        return self.random.choice(nodes) if nodes else None
 
 
 Inject = Callable[[FaultContext], Awaitable[None]]
@@ -53,18 +57,21 @@
 
 
 async def _kill_node(context: FaultContext) -> None:
-    await _restart_process(context, "kill", planned=False)
+    node = context.draw_undisturbed_node()
+    if node is not None:
+        await _restart_process(context, node, "kill", planned=False)
 
 
 async def _stop_node(context: FaultContext) -> None:
-    await _restart_process(context, "stop", planned=True)
+    node = context.draw_undisturbed_node()
+    if node is not None:
+        await _restart_process(context, node, "stop", planned=True)
 
 
-async def _restart_process(context: FaultContext, kind: str, *, planned: bool) -> None:
+async def _restart_process(
+    context: FaultContext, node: int, kind: str, *, planned: bool
+) -> None:
     """Stop or kill the process of a node and start it again."""
-    node = context.draw_undisturbed_node()
-    if node is None:
-        return
     context.nodes_under_fault.add(node)
     process, started_at = context.site.process_by_node[node], _now()
     if planned:
@@ -141,12 +148,10 @@
             return
         started_at = _now()
         context.withdrawn_at_by_target[leaving] = started_at
-        serves_until = started_at + context.random.uniform(2.5, 6.0)
+        await asyncio.sleep(context.random.uniform(0.2, 1.5))
         if context.random.random() < LATE_HEARTBEAT_SHARE:
-            await asyncio.sleep(context.random.uniform(0.2, 1.5))
-            target.sequence -= 2
-            await target.announce(context.site.heartbeat_address(node))
-        await asyncio.sleep(max(serves_until - _now(), 0.0))
+            await _announce_late(context, node)
+        await asyncio.sleep(context.random.uniform(2.0, 3.0))
     target.target_id = f"{leaving.partition('.')[0]}.{context.random.randrange(10**6)}"
     target.born += 60_000
     target.sequence = 0
@@ -154,6 +159,16 @@
     context.faults.append(Fault("replace", node, started_at, _now(), planned=True))
 
 
+async def _announce_late(context: FaultContext, node: int) -> None:
+    """Let a heartbeat from before a withdrawal arrive, if possible after a kill."""
+    if node in context.undisturbed_nodes():
+        await _restart_process(context, node, "kill", planned=False)
+        await asyncio.sleep(context.random.uniform(1.5, 2.5))
+    target = context.site.target_by_node[node]
+    target.sequence -= 2
+    await target.announce(context.site.heartbeat_address(node))
+
+
 async def _limit_target(context: FaultContext) -> None:
     node = context.random.choice(list(context.site.target_by_node))
     target, started_at = context.site.target_by_node[node], _now()
