--- a/siskinlug/inbound.py
+++ b/siskinlug/inbound.py
@@ -213,7 +213,15 @@
 
 
 def head_refusal(limits: InboundLimits, head: RequestHead) -> Refusal | None:
-    """Return why a request is refused for its head, or ``None``."""
+    """Return why a request is refused for the size of its head or body.
+
+    Args:
+        limits: Limits of the port.
+        head: Head of the request.
+
+    Returns:
+        The refusal, or ``None`` if the request is within the limits.
+    """
     size_bytes = len(head.method) + len(head.path)
     size_bytes += sum(
         len(name) + len(value) + 4 for name, value in head.headers.get_all()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -34,18 +34,18 @@
         self.nodes_under_fault: set[int] = set()
         self.version = 3
 
-    def undisturbed_nodes(self) -> list[int]:
-        """Return the nodes that may be disturbed now.
+    def nodes_to_disturb(self) -> list[int]:
+        """Return the nodes without a running fault that may get one now.
 
-        There are none where only two run without a fault, so that at least two nodes
-        run undisturbed at all times.
+        There are none if only two nodes run without a fault, so that at least two run
+        undisturbed at all times.
         """
         free = [n for n in self.site.process_by_node if n not in self.nodes_under_fault]
         return free if len(free) > 2 else []
 
     def draw_undisturbed_node(self) -> int | None:
-        """Draw a node that may be disturbed now, ``None`` if there is none."""
-        nodes = self.undisturbed_nodes()
+        """Draw a node that may get a fault now, ``None`` if there is none."""
+        nodes = self.nodes_to_disturb()
         return self.random.choice(nodes) if nodes else None
 
 
@@ -161,7 +161,7 @@
 
 async def _announce_late(context: FaultContext, node: int) -> None:
     """Let a heartbeat from before a withdrawal arrive, if possible after a kill."""
-    if node in context.undisturbed_nodes():
+    if node in context.nodes_to_disturb():
         await _restart_process(context, node, "kill", planned=False)
         await asyncio.sleep(context.random.uniform(1.5, 2.5))
     target = context.site.target_by_node[node]
