--- a/siskinlug/ejection_monitor.py
+++ b/siskinlug/ejection_monitor.py
@@ -213,7 +213,7 @@
     if owned is None:
         return False
     announcement = owned.announcement
-    # A probe counts as a request, and no answer to it would look like a failure.
+    # A probe counts against the limit. One that is not sent must not count as failed.
     rate_limit = owned.admission.rate_limit
     while (pause_s := rate_limit.ready_in_s()) > 0:
         await asyncio.sleep(pause_s)
--- a/siskinlug/verdict.py
+++ b/siskinlug/verdict.py
@@ -127,7 +127,7 @@
     Reason.TARGET_LIMITED: ReasonInfo(
         503,
         "The target has named a limit on its request rate, which has been reached.",
-        "Wait for Retry-After; look at `target_signals` in the log of its owner.",
+        "Wait for Retry-After; look at `target_limit` in the log of its owner.",
     ),
     Reason.TARGET_DOUBTED: ReasonInfo(
         503,
