--- a/siskinlug/config_sync.py
+++ b/siskinlug/config_sync.py
@@ -81,6 +81,10 @@
         tables: The tables of that state.
         log_up: Whether the source of the configuration answered last time, ``None``
             before the first attempt.
+        heard_at: Monotonic time of the last answer of the source, ``None`` before the
+            first one.
+        count_read: Called with the outcome of each read of the source: ``ok`` or
+            ``failed``.
         push: Sends the position of this node to peers.
         snapshot_due_at: Monotonic time at which this node writes a snapshot, ``None``
             if none is due.
@@ -98,6 +102,7 @@
         monotonic: Callable[[], float],
         wall_ms: Callable[[], int],
         sleep: Callable[[float], Awaitable[None]],
+        count_read: Callable[[str], object],
     ) -> None:
         self.timeline = timeline
         self.on_change = on_change
@@ -108,6 +113,8 @@
         self.state = EMPTY_STATE
         self.tables = NO_TABLES
         self.log_up: bool | None = None
+        self.heard_at: float | None = None
+        self.count_read = count_read
         self.push: Callable[[], object] = lambda: None
         self.snapshot_due_at: float | None = None
         self.log_gap = False
@@ -123,6 +130,7 @@
     monotonic: Callable[[], float] = time.monotonic,
     wall_ms: Callable[[], int] = wall_clock_ms,
     sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
+    count_read: Callable[[str], object] = lambda outcome: None,
 ) -> ConfigurationView:
     """Build the configuration of a node that has not received any yet.
 
@@ -133,6 +141,7 @@
         monotonic: Clock, in seconds.
         wall_ms: Wall clock in milliseconds, written into snapshots to tell their age.
         sleep: Waits for a number of seconds.
+        count_read: Called with the outcome of each read of the source.
     """
     return ConfigurationView(
         timeline,
@@ -141,6 +150,7 @@
         monotonic=monotonic,
         wall_ms=wall_ms,
         sleep=sleep,
+        count_read=count_read,
     )
 
 
@@ -256,6 +266,9 @@
         return {
             **position_of(view.state),
             "log_up": view.log_up,
+            "heard_s_ago": None
+            if view.heard_at is None
+            else round(view.monotonic() - view.heard_at, 3),
             "changes": [change._asdict() for change in view.state.changes],
         }
 
@@ -494,6 +507,9 @@
     """
     up = not problem
     was_up, view.log_up = view.log_up, up
+    view.count_read("ok" if up else "failed")
+    if up:
+        view.heard_at = view.monotonic()
     if up == was_up or (up and was_up is None):
         return
     if up:
--- a/siskinlug/metrics.py
+++ b/siskinlug/metrics.py
@@ -25,6 +25,7 @@
         retries: Attempts after the first, by pool.
         limits: Hits of the limits of a port, by port and limit.
         signals: Signals that own targets begin or end in their responses, by signal.
+        configuration_reads: Reads of the source of the configuration, by outcome.
         duration: Seconds from the head of a request to the end of its response, by
             route.
         in_flight: Requests in progress.
@@ -36,6 +37,7 @@
     retries: Counter
     limits: Counter
     signals: Counter
+    configuration_reads: Counter
     duration: Histogram
     in_flight: UpDownCounter
 
@@ -55,6 +57,9 @@
         retries=meter.create_counter("siskinlug.retries", unit="1"),
         limits=meter.create_counter("siskinlug.limits", unit="1"),
         signals=meter.create_counter("siskinlug.target.signals", unit="1"),
+        configuration_reads=meter.create_counter(
+            "siskinlug.configuration.reads", unit="1"
+        ),
         duration=meter.create_histogram("siskinlug.request.duration", unit="s"),
         in_flight=meter.create_up_down_counter("siskinlug.in_flight", unit="1"),
     )
--- a/siskinlug/node.py
+++ b/siskinlug/node.py
@@ -191,6 +191,9 @@
             on_change=lambda _tables: _apply_admission_limits(self),
             random=random,
             monotonic=self.monotonic,
+            count_read=lambda outcome: self.metrics.configuration_reads.add(
+                1, {"outcome": outcome}
+            ),
         )
         self.membership = make_membership(
             self._own_record(),
