--- a/siskinlug/connections.py
+++ b/siskinlug/connections.py
@@ -18,15 +18,10 @@
 # request lost on it may have run, so a non-idempotent one could not be retried.
 MAX_IDLE_NON_IDEMPOTENT_S = 2.0
 MAX_IDLE_PER_ADDRESS = 64
-# Detects a peer that no longer acknowledges, for example because a middlebox dropped
-# the connection. The kernel then closes it after about 4 s, even while a long-running
+# A peer may no longer acknowledge, for example because a middlebox dropped the
+# connection. The kernel then closes it after this time, even while a long-running
 # request has no response yet.
-_TCP_OPTIONS = (
-    (socket.TCP_USER_TIMEOUT, 4000),
-    (socket.TCP_KEEPIDLE, 2),
-    (socket.TCP_KEEPINTVL, 1),
-    (socket.TCP_KEEPCNT, 2),
-)
+UNACKNOWLEDGED_S = 4
 
 Address = tuple[str, int]
 
@@ -66,8 +61,11 @@
 class ConnectionPool:
     """Pool of idle connections by address."""
 
-    def __init__(self, *, monotonic: Callable[[], float]) -> None:
+    def __init__(
+        self, *, monotonic: Callable[[], float], unacknowledged_s: int
+    ) -> None:
         self.monotonic = monotonic
+        self.unacknowledged_s = unacknowledged_s
         self.client = TCPClient()
         self.idle_by_address: dict[Address, deque[tuple[IOStream, float]]] = {}
         self.closed = False
@@ -141,13 +139,17 @@
             self.idle_by_address.pop(address, None)
 
 
-def make_connection_pool(*, monotonic: Callable[[], float]) -> ConnectionPool:
+def make_connection_pool(
+    *, monotonic: Callable[[], float], unacknowledged_s: int = UNACKNOWLEDGED_S
+) -> ConnectionPool:
     """Build an empty pool.
 
     Args:
         monotonic: Clock in seconds.
+        unacknowledged_s: Time after which the kernel closes a connection whose peer no
+            longer acknowledges, in whole seconds, 2 or more.
     """
-    return ConnectionPool(monotonic=monotonic)
+    return ConnectionPool(monotonic=monotonic, unacknowledged_s=unacknowledged_s)
 
 
 def _has_unread(stream: IOStream) -> bool:
@@ -167,9 +169,15 @@
     return True
 
 
-def _enable_keepalive(stream: IOStream) -> None:
+def _enable_keepalive(stream: IOStream, unacknowledged_s: int) -> None:
     """Let the kernel close the connection if its peer no longer acknowledges."""
-    for option, value in _TCP_OPTIONS:
+    idle_s = unacknowledged_s // 2
+    for option, value in (
+        (socket.TCP_USER_TIMEOUT, unacknowledged_s * 1000),
+        (socket.TCP_KEEPIDLE, idle_s),
+        (socket.TCP_KEEPINTVL, 1),
+        (socket.TCP_KEEPCNT, unacknowledged_s - idle_s),
+    ):
         stream.socket.setsockopt(socket.IPPROTO_TCP, option, value)
     stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
 
@@ -212,7 +220,7 @@
             yield Failure(ConnectFailure(address, str(cause), refused))
             return
         stream.set_nodelay(True)
-        _enable_keepalive(stream)
+        _enable_keepalive(stream, pool.unacknowledged_s)
     connection = Connection(stream, address, reused=reused)
     try:
         yield Success(connection)
