Let the polls of a fleet end in turn, so that a silent store is noticed

Callers could see: a confirmed change not in force for up to 32 s, if the store's responses to the open polls are lost on connections that still acknowledge.

Cause: all nodes wait for 30 s on one poll each, and a change ends all polls at once, so they also expire together. Nobody makes a call whose missing response would show the silence.

--- a/siskinlug/config_sync.py
+++ b/siskinlug/config_sync.py
@@ -86,6 +86,7 @@
         count_read: Called with the outcome of each read of the source: ``ok`` or
             ``failed``.
         push: Sends the position of this node to peers.
+        nodes: Number of nodes in the fleet.
         snapshot_due_at: Monotonic time at which this node writes a snapshot, ``None``
             if none is due.
         log_gap: Whether the log dropped records that this node has not read.
@@ -116,6 +117,7 @@
         self.heard_at: float | None = None
         self.count_read = count_read
         self.push: Callable[[], object] = lambda: None
+        self.nodes: Callable[[], int] = lambda: 1
         self.snapshot_due_at: float | None = None
         self.log_gap = False
         self.ahead_by_peer: dict[str, ConfigurationPosition] = {}
@@ -174,8 +176,9 @@
         nodes: Number of nodes in the fleet, for the poll interval.
     """
     view.push = push
+    view.nodes = nodes
     async with asyncio.TaskGroup() as tasks:
-        tasks.create_task(_poll_log(view, log, nodes))
+        tasks.create_task(_poll_log(view, log))
         tasks.create_task(fetch_from_peers(view, fetch))
 
 
@@ -185,6 +188,7 @@
     *,
     fetch: FetchState,
     push: Callable[[], object],
+    nodes: Callable[[], int],
 ) -> None:
     """Keep a configuration that is declared as a whole up to date until cancelled.
 
@@ -193,8 +197,10 @@
         follow: Runs until cancelled and calls ``put_in_force`` for each declaration.
         fetch: As for ``follow_configuration``.
         push: As for ``follow_configuration``.
+        nodes: Number of nodes in the fleet, among which ``follow`` spreads its reads.
     """
     view.push = push
+    view.nodes = nodes
     async with asyncio.TaskGroup() as tasks:
         tasks.create_task(follow(view))
         tasks.create_task(fetch_from_peers(view, fetch))
@@ -363,12 +369,10 @@
     return Success(state if oldest is None else newer_state(state, oldest))
 
 
-async def _poll_log(
-    view: ConfigurationView, log: Log, nodes: Callable[[], int]
-) -> None:
+async def _poll_log(view: ConfigurationView, log: Log) -> None:
     while True:
-        await poll_once(view, log, nodes=nodes())
-        interval_s = max(POLL_MIN_S, nodes() / FLEET_READS_PER_S)
+        await poll_once(view, log, nodes=view.nodes())
+        interval_s = max(POLL_MIN_S, view.nodes() / FLEET_READS_PER_S)
         await view.sleep(interval_s * (0.5 + view.random.random()))
 
 
--- a/siskinlug/node_runtime.py
+++ b/siskinlug/node_runtime.py
@@ -190,18 +190,17 @@
     def push() -> None:
         push_payload(node.membership, "configuration")
 
+    def nodes() -> int:
+        return 1 + len(node.membership.live_peers())
+
     follow = node.options.follow_operator
     if follow is not None:
         await follow_declared_configuration(
-            node.configuration, follow, fetch=fetch, push=push
+            node.configuration, follow, fetch=fetch, push=push, nodes=nodes
         )
         return
     await follow_configuration(
-        node.configuration,
-        node.log,
-        fetch=fetch,
-        push=push,
-        nodes=lambda: 1 + len(node.membership.live_peers()),
+        node.configuration, node.log, fetch=fetch, push=push, nodes=nodes
     )
 
 
