Write and read the nodes' addresses again when the store has lost some

Callers could see: a node that starts after the store went back serves with its own target alone, and refuses what others could serve.

Cause: a node writes its address every 5 minutes and takes a confirmed write for lasting. After the store had come back from a copy older than the write, the address stayed missing for up to 6 minutes; nodes that start meanwhile find nobody.

Change: the member store counts its losses (rises of the era). A node that learns of one writes its address again, spread over 0.5 s, and then looks for nodes that started meanwhile.

Evidence: test_node_that_starts_after_the_loss_finds_the_fleet failed (60 s) before.

--- a/siskinlug/node.py
+++ b/siskinlug/node.py
@@ -1,5 +1,6 @@
 """State of one node: builds the parts of all its roles and connects them."""
 
+import asyncio
 import time
 from collections.abc import Awaitable, Callable, Sequence
 from functools import partial
@@ -97,10 +98,14 @@
     Attributes:
         write: Stores the address of a node and returns whether that succeeded.
         read: Returns the addresses of all nodes, or ``None`` if they cannot be read.
+        losses: Returns how often the store has lost addresses that it had confirmed.
+        wait_for_loss: Returns once that number differs from the given one.
     """
 
     write: Callable[[str, Address], Awaitable[bool]]
     read: ReadMembers
+    losses: Callable[[], int]
+    wait_for_loss: Callable[[int], Awaitable[object]]
 
 
 class NodeOptions(NamedTuple):
@@ -412,7 +417,11 @@
         found = [parse_member_address(entry.record) for entry in newest_first]
         return list(dict.fromkeys(address for address in found if address))
 
-    return MemberStore(write, read)
+    async def wait_for_loss(_losses: int) -> None:
+        # The log does not say when it has lost records.
+        await asyncio.Event().wait()
+
+    return MemberStore(write, read, lambda: 0, wait_for_loss)
 
 
 def parse_member_address(entry: Any) -> Address | None:
--- a/siskinlug/node_runtime.py
+++ b/siskinlug/node_runtime.py
@@ -104,6 +104,8 @@
 FIRST_DISCOVERY_PAUSES_S = (1.5, 6.0)
 # Short, because nodes that start meanwhile do not find a node without a stored address.
 ADDRESS_RETRY_S = 2.0
+# Time over which the nodes of a fleet spread the writes after a loss of addresses.
+ADDRESS_REWRITE_S = 0.5
 
 MessageT = TypeVar("MessageT")
 
@@ -208,9 +210,30 @@
     """Publish this node's address at intervals, so that starting nodes find it."""
     while True:
         own = node.membership.directory.own_record
+        losses = node.member_store.losses()
         written = await node.member_store.write(own.node, (own.host, own.peer_port))
         pause_s = ADDRESS_INTERVAL_S if written else ADDRESS_RETRY_S
-        await asyncio.sleep(pause_s * node.random.uniform(0.8, 1.2))
+        if await _pause_until_loss(node, pause_s, losses):
+            await asyncio.sleep(ADDRESS_REWRITE_S * node.random.random())
+
+
+async def _pause_until_loss(node: Node, pause_s: float, losses: int) -> bool:
+    """Pause, but only until the store has lost addresses once more.
+
+    Args:
+        node: The node.
+        pause_s: Mean length of the pause, in seconds.
+        losses: Number of losses when the addresses were last written or read.
+
+    Returns:
+        Whether addresses were lost.
+    """
+    try:
+        async with asyncio.timeout(pause_s * node.random.uniform(0.8, 1.2)):
+            await node.member_store.wait_for_loss(losses)
+    except TimeoutError:
+        return False
+    return True
 
 
 async def _discover_nodes(node: Node) -> None:
@@ -220,8 +243,13 @@
     only those that were quicker to publish their address. While addresses cannot be
     read, it finds none.
     """
+    losses = node.member_store.losses()
     for pause_s in chain(FIRST_DISCOVERY_PAUSES_S, repeat(ADDRESS_INTERVAL_S)):
-        await asyncio.sleep(pause_s * node.random.uniform(0.8, 1.2))
+        if await _pause_until_loss(node, pause_s, losses):
+            # A node that started after the loss has found only those listed by then.
+            rewritten_s = FIRST_DISCOVERY_PAUSES_S[0] + ADDRESS_REWRITE_S
+            await asyncio.sleep(rewritten_s * node.random.uniform(0.8, 1.2))
+        losses = node.member_store.losses()
         while (addresses := await node.member_store.read()) is None:
             await asyncio.sleep(ADDRESS_RETRY_S * node.random.uniform(0.5, 1.0))
         await meet_unknown(node.membership, addresses)
