Bring the store back from an older copy in the soak, and silence open reads

A new check reports a process that serves the extra route of an older version again, also while the store is disturbed.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -22,7 +22,8 @@
 LIMIT_WINDOW_S = 4.0
 LIMIT_TOLERANCE = 1.5
 LIMIT_EXTRA_REQUESTS = 5
-PROCESS_FAULTS = frozenset({"kill", "stop", "pause"})
+RESTART_FAULTS = frozenset({"kill", "stop"})
+PROCESS_FAULTS = RESTART_FAULTS | {"pause"}
 # Time after the end of a fault until its effects are over.
 FAULT_EFFECT_S = 4.0
 
@@ -95,6 +96,7 @@
         *_find_work_after_leaving(record),
         *_find_requests_cut_by_planned_stops(record),
         *_find_configuration_errors(record),
+        *_find_configuration_regressions(record),
         *_find_requests_above_limits(record),
         *_find_requests_after_leaving_was_said(record),
     ]
@@ -201,6 +203,26 @@
     return violations
 
 
+def _find_configuration_regressions(record: SoakRecord) -> list[str]:
+    """Check that no process serves the extra route of an older version than before."""
+    version_by_path = {p: n for n, p in enumerate(record.configured_at_by_path)}
+    served = sorted(
+        (x for x in record.outcomes if x.path in version_by_path and x.status == 200),
+        key=lambda outcome: outcome.sent_at,
+    )
+    return [
+        f"an older configuration is in force again: {earlier}, {later}"
+        for n, later in enumerate(served)
+        for earlier in served[:n]
+        if earlier.node == later.node
+        and earlier.ended_at < later.sent_at
+        and version_by_path[earlier.path] > version_by_path[later.path]
+        and not _is_node_disturbed(
+            record, later.node, earlier.sent_at, later.ended_at, RESTART_FAULTS
+        )
+    ]
+
+
 def _told_at_by_node(record: SoakRecord, target: str, since: float) -> dict[int, float]:
     """Return when each node first passed on a response of a target.
 
@@ -221,11 +243,15 @@
 
 
 def _is_node_disturbed(
-    record: SoakRecord, node: int, started_at: float, ended_at: float
+    record: SoakRecord,
+    node: int,
+    started_at: float,
+    ended_at: float,
+    kinds: frozenset[str] = PROCESS_FAULTS,
 ) -> bool:
     """Whether a node was restarted or paused in a span of time."""
     return any(
-        fault.kind in PROCESS_FAULTS
+        fault.kind in kinds
         and fault.node == node
         and fault.started_at < ended_at
         and fault.ended_at > started_at
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,6 +13,10 @@
 # Time after which the platform restarts a process.
 RESTART_S = 0.4
 STORE_FAULTS = ("busy", "reset", "lost", "malformed", "silent")
+# Share of returns from an older copy after which the operator writes a newer version.
+NEWER_AFTER_RESTORE_SHARE = 0.5
+# Share of faults of the store in which open reads never get a response.
+SILENCED_SHARE = 0.2
 # Share of replaced targets that say that they leave only in their responses.
 SILENT_LEAVING_SHARE = 0.4
 TARGET_FAULTS = ("fails", "sheds", "cuts", "loses", "repeats", "floods")
@@ -33,6 +37,7 @@
         self.said_leaving_at_by_target: dict[str, float] = {}
         self.nodes_under_fault: set[int] = set()
         self.version = 3
+        self.configuration = configuration(self.version)
 
     def nodes_to_disturb(self) -> list[int]:
         """Return the nodes without a running fault that may get one now.
@@ -106,6 +111,10 @@
 
 async def _disturb_store(context: FaultContext) -> None:
     started_at = _now()
+    if context.random.random() < SILENCED_SHARE:
+        context.site.store.silence_open_polls()
+        context.faults.append(Fault("store", 0, started_at, _now()))
+        return
     context.site.store.fault = context.random.choice(STORE_FAULTS)
     await asyncio.sleep(context.random.uniform(0.5, 3.0))
     if context.random.random() < 0.3:
@@ -114,6 +123,25 @@
     context.faults.append(Fault("store", 0, started_at, _now()))
 
 
+async def _restore_store(context: FaultContext) -> None:
+    """Bring the store back from a copy some seconds old, after a moment away."""
+    store = context.site.store
+    copy = store.copy()
+    await asyncio.sleep(context.random.uniform(0.0, 6.0))
+    started_at = _now()
+    store.fault = "reset"
+    await asyncio.sleep(context.random.uniform(0.2, 2.0))
+    store.restore(copy)
+    store.fault = ""
+    # The operator writes again what it wrote, or a newer version in its place.
+    await asyncio.sleep(context.random.choice((0.0, context.random.uniform(0.0, 1.0))))
+    if context.random.random() < NEWER_AFTER_RESTORE_SHARE:
+        await _publish_configuration(context)
+    else:
+        store.put(TOPIC, KEY, context.configuration)
+    context.faults.append(Fault("restore", 0, started_at, _now()))
+
+
 async def _disturb_target(context: FaultContext) -> None:
     node = context.random.choice(list(context.site.target_by_node))
     target, started_at = context.site.target_by_node[node], _now()
@@ -186,7 +214,8 @@
     context.version += context.random.randint(1, 3)
     path = f"/extra-{context.version}/"
     context.configured_at_by_path[path] = _now()
-    context.site.store.put(TOPIC, KEY, configuration(context.version, extra=path))
+    context.configuration = configuration(context.version, extra=path)
+    context.site.store.put(TOPIC, KEY, context.configuration)
     context.faults.append(Fault("configure", 0, _now(), _now(), planned=True))
 
 
@@ -195,6 +224,7 @@
     (_stop_node, 1.5),
     (_pause_node, 1.0),
     (_disturb_store, 1.0),
+    (_restore_store, 0.7),
     (_disturb_target, 2.5),
     (_replace_target, 1.5),
     (_limit_target, 1.5),
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -88,6 +88,21 @@
         )
         self._assert_found(EMPTY._replace(outcomes=[back], configured_at_by_path=paths))
 
+    def test_configuration_that_reverts_while_the_store_goes_back(self) -> None:
+        """Guards against excusing an older configuration by a fault of the store."""
+        newer = GOOD._replace(path="/extra-6/", at_most_once=False)
+        older = newer._replace(path="/extra-4/", sent_at=10.5, ended_at=10.6)
+        record = EMPTY._replace(
+            outcomes=[newer, older],
+            configured_at_by_path={"/extra-4/": 5.0, "/extra-6/": 9.9},
+            faults=[Fault("restore", 0, 10.2, 10.4)],
+        )
+        self._assert_found(record)
+        other_node = record._replace(outcomes=[newer, older._replace(node=2)])
+        self.assertThat(find_violations(other_node), Equals([]))
+        restarted = record._replace(faults=[Fault("kill", 1, 10.2, 10.4)])
+        self.assertThat(find_violations(restarted), Equals([]))
+
     def _series(self, times: list[float], *, node: int = 1) -> SoakRecord:
         """Return a record of requests that reached ``i-1`` at these times."""
         outcomes = [
