Tell a node that joins the version in force at once

Callers could see: a node that restarts while the store holds an older copy serves the older configuration until the first ping, up to a second later.

Cause: a node joins with a sync of the directory, which carries no payloads; the position of the configuration travels on pings only.

Change: the response to a request for all records carries the payloads, as a ping does.

Evidence: the test failed before ([] instead of [9]). Tried and not taken: a ping after the join (each response at a cold start used up repeats of changes at the seeds, and 60 nodes that start together no longer converged in 6 s: two tests of test_membership failed).

--- a/siskinlug/directory_sync.py
+++ b/siskinlug/directory_sync.py
@@ -18,7 +18,7 @@
     summarize_record,
     summary_order,
 )
-from siskinlug.gossip import RECORDS_PER_PING
+from siskinlug.gossip import RECORDS_PER_PING, encode_payloads
 from siskinlug.gossip_merge import merge_changes
 from siskinlug.membership_state import Membership, start_task
 from siskinlug.messages import SyncAnswer, SyncRequest
@@ -42,7 +42,13 @@
     _merge_sync_changes(membership, message.summaries, message.records)
     if "*" in message.wanted_nodes or not message.digests:
         wanted = _wanted_records(directory, message.wanted_nodes)
-        return SyncAnswer(directory.own_node, membership.clock.now(), records=wanted)
+        payloads = encode_payloads(membership) if "*" in message.wanted_nodes else {}
+        return SyncAnswer(
+            directory.own_node,
+            membership.clock.now(),
+            records=wanted,
+            payloads=payloads,
+        )
     pairs = enumerate(
         zip(message.digests, directory.bucket_digests(), strict=False),
     )
--- a/siskinlug/gossip.py
+++ b/siskinlug/gossip.py
@@ -175,22 +175,34 @@
         digest: Digest of the directory; empty in a push.
         urgent_payloads: Names of the payloads to push; None, as in pings, sends all.
     """
-    payloads: dict[str, msgspec.Raw] = {}
-    for name, payload in membership.payload_by_name.items():
-        if urgent_payloads is None or name in urgent_payloads:
-            value = payload.write(urgent_payloads is not None)
-            if value is not None:
-                payloads[name] = msgspec.Raw(msgspec.json.encode(value))
     return Gossip(
         membership.own_summary(),
         membership.clock.now(),
         digest,
         summaries,
         list(records),
-        payloads,
+        encode_payloads(membership, urgent_payloads),
     )
 
 
+def encode_payloads(
+    membership: Membership, urgent: set[str] | None = None
+) -> dict[str, msgspec.Raw]:
+    """Return the values of the payloads to send, by name.
+
+    Args:
+        membership: The membership.
+        urgent: Names of the payloads to push; None sends all that have a value.
+    """
+    encoded: dict[str, msgspec.Raw] = {}
+    for name, payload in membership.payload_by_name.items():
+        if urgent is None or name in urgent:
+            value = payload.write(urgent is not None)
+            if value is not None:
+                encoded[name] = msgspec.Raw(msgspec.json.encode(value))
+    return encoded
+
+
 def publish_own_change(membership: Membership) -> None:
     """Gossip any change of this node's record since the last call.
 
--- a/siskinlug/gossip_merge.py
+++ b/siskinlug/gossip_merge.py
@@ -1,6 +1,6 @@
 """Merge of received gossip into the directory, and the resulting events."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 import msgspec
 from absl import logging
@@ -48,16 +48,17 @@
     changed = merge_changes(
         membership, [*message.summaries, message.sender], message.records
     )
-    _read_payloads(membership, message)
+    read_payloads(membership, message.sender.node, message.payloads)
     return changed
 
 
-def _read_payloads(membership: Membership, message: Gossip) -> None:
+def read_payloads(
+    membership: Membership, sender: str, payloads: Mapping[str, msgspec.Raw]
+) -> None:
     """Pass payloads to the modules that read them, and push the new ones further."""
-    sender = message.sender.node
     if sender == membership.directory.own_node:
         sender = ""
-    for name, raw in message.payloads.items():
+    for name, raw in payloads.items():
         payload = membership.payload_by_name.get(name)
         if payload is None:
             continue
--- a/siskinlug/join.py
+++ b/siskinlug/join.py
@@ -7,7 +7,7 @@
 from siskinlug.connections import Address
 from siskinlug.directory_sync import request_sync, sync_with
 from siskinlug.gossip import push_change
-from siskinlug.gossip_merge import merge_changes
+from siskinlug.gossip_merge import merge_changes, read_payloads
 from siskinlug.heartbeats import ping_address
 from siskinlug.links import record_success
 from siskinlug.membership_state import Membership, address_of, sample_peers
@@ -66,6 +66,7 @@
             merge_changes(
                 membership, answer.summaries, answer.records, repeat_in_pings=False
             )
+            read_payloads(membership, answer.node, answer.payloads)
             return True
     return False
 
--- a/siskinlug/messages.py
+++ b/siskinlug/messages.py
@@ -118,6 +118,7 @@
         differing_buckets: Indices of the buckets that differ.
         summaries: Summaries of all records in these buckets.
         records: The requested records.
+        payloads: As in ``Gossip``, if all records were requested.
     """
 
     node: str
@@ -125,6 +126,7 @@
     differing_buckets: list[int] = []
     summaries: list[RecordSummary] = []
     records: list[NodeRecord] = []
+    payloads: dict[str, msgspec.Raw] = {}
 
 
 class CancelRequest(TypedDict):
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -91,6 +91,33 @@
             if event.kind == kind
         ]
 
+    def test_node_that_joins_has_the_payloads_of_the_fleet_at_once(self) -> None:
+        """Guards against a restarted node that serves an older configuration."""
+
+        async def scenario(network: FakeNetwork, records: list[NodeRecord]) -> None:
+            received: list[int] = []
+            payload = Payload(
+                name="version",
+                value_type=int,
+                write=lambda _urgent: 9,
+                read=lambda _peer, _version: False,
+            )
+            for record in records[:2]:
+                peer = network.node_by_name[record.node].membership
+                peer.payload_by_name["version"] = payload
+            joining = make_node_record(9, targets=1)
+            own_payload = payload._replace(
+                write=lambda _urgent: None,
+                read=lambda _peer, version: bool(received.append(version)),
+            )
+            membership = network.start(
+                joining, seeds=_seeds(records), payloads=[own_payload]
+            )
+            await membership.joined.wait()
+            self.assertThat(received, Equals([9]))
+
+        self._run(5, scenario)
+
     @settings(max_examples=settings.default.max_examples // 2)
     @given(st.data())
     def test_no_live_node_stays_dead_once_links_heal(self, data: st.DataObject) -> None:
