--- a/siskinlug/cli.py
+++ b/siskinlug/cli.py
@@ -61,6 +61,7 @@
     TARGETS = "targets"
     TABLES = "tables"
     SIGNALS = "signals"
+    CONFIGURATION = "configuration"
 
 
 app = typer.Typer(
@@ -310,7 +311,7 @@
 
 @app.command()
 def show(page: AdminPage, node: NodeOption, as_json: JsonOption = False) -> None:
-    """Show nodes, targets, tables or signals of targets, as known to one node."""
+    """Show one of the pages of a node: its state, or the fleet as it knows it."""
     content = _run(_fetch_from_node(node, f"/{page.value}"))
     if as_json:
         _print_json(content)
@@ -319,6 +320,9 @@
             version = content[f"{table}_version"]
             rows = [row | {"name": name} for name, row in content[table].items()]
             _print_rows(f"{table}, version {version}", rows)
+    elif page is AdminPage.CONFIGURATION:
+        _print_rows("changes", content.pop("changes"))
+        _print_rows("position, and when its source last answered", [content])
     else:
         _print_rows(page.value, content)
 
--- a/tests/test_process_cli.py
+++ b/tests/test_process_cli.py
@@ -31,9 +31,10 @@
             for number in (n.number for n in fleet.nodes):
                 page = fleet.admin(number, "/configuration")
                 self.assertThat(page["routes_version"], Equals(2))
-            for page in ("nodes", "targets", "tables", "signals"):
+            for page in ("nodes", "targets", "tables", "signals", "configuration"):
                 shown = CliRunner().invoke(app, ["show", page, *node])
                 self.assertThat(shown.exit_code, Equals(0), page)
+            self.assertThat(shown.output, Contains("heard_s_ago"))
             url = ["GET", "http://x.example/read/1", "--json"]
             explained = CliRunner().invoke(app, ["explain", *url, *node])
             route = json.loads(explained.stdout)["route"]
