Push payloads and fetch the configuration on new connections

Cause: a push goes to four peers on kept connections. If these are silent, it is lost, the peer's own pushes too, and the news waits for pings, each of which fails for 0.5 s first.

Change: pushes with payloads and fetches of the configuration open a new connection. Pushes of records, which are frequent, use kept ones as before.

--- a/bench/fake_peers.py
+++ b/bench/fake_peers.py
@@ -50,6 +50,7 @@
         node_by_name: Running nodes.
         name_by_address: Node that listens on each address.
         is_link_cut: Returns whether messages from a sender to a receiver are lost.
+        pooled_silent: Whether messages on connections opened before are lost.
         paused: Paused nodes, each with the event that is set when its pause ends.
         calls_by_path: Number of calls by path.
         far_calls_by_path: Number of those to another failure domain, by path.
@@ -61,6 +62,7 @@
         self.node_by_name: dict[str, FakeNode] = {}
         self.name_by_address: dict[Address, str] = {}
         self.is_link_cut: Callable[[str, str], bool] = lambda sender, receiver: False
+        self.pooled_silent = False
         self.paused: dict[str, asyncio.Event] = {}
         self.calls_by_path: Counter[str] = Counter()
         self.far_calls_by_path: Counter[str] = Counter()
@@ -95,7 +97,7 @@
             message: Request message.
             answer_type: Type to decode the answer to.
             timeout_s: Time limit in seconds.
-            fresh: Ignored; connections are not simulated.
+            fresh: Whether a new connection is opened; see ``pooled_silent``.
 
         Returns:
             The answer, or a failure if none arrived within the time limit.
@@ -106,6 +108,8 @@
             self.far_calls_by_path[path] += 1
         try:
             async with asyncio.timeout(timeout_s):
+                if self.pooled_silent and not fresh:
+                    await asyncio.Event().wait()
                 answer = await self._deliver(sender, address, path, encode(message))
         except TimeoutError:
             answer = None
--- a/siskinlug/gossip.py
+++ b/siskinlug/gossip.py
@@ -69,7 +69,15 @@
                 start_task(
                     membership,
                     send_message(
-                        membership, peer, PUSH, message, PushAnswer, PUSH_TIMEOUT_S
+                        membership,
+                        peer,
+                        PUSH,
+                        message,
+                        PushAnswer,
+                        PUSH_TIMEOUT_S,
+                        # Payloads are rare and urgent, and an idle connection may have
+                        # gone silent.
+                        fresh=bool(message.payloads),
                     ),
                 )
         if membership.urgent_nodes:
--- a/siskinlug/node_runtime.py
+++ b/siskinlug/node_runtime.py
@@ -186,6 +186,7 @@
             CONFIGURATION_PATH,
             position,
             msgspec.Raw,
+            fresh=True,
         )
         return bytes(result.unwrap()) if isinstance(result, Success) else None
 
--- a/siskinlug/round_trips.py
+++ b/siskinlug/round_trips.py
@@ -22,6 +22,8 @@
     message: Any,
     answer_type: Any,
     timeout_s: float,
+    *,
+    fresh: bool = False,
 ) -> Any | None:
     """Send a message to a peer and record the result for its link.
 
@@ -32,13 +34,19 @@
         message: The message, which is encoded as JSON.
         answer_type: Type that the response is decoded to.
         timeout_s: Timeout, in seconds.
+        fresh: Whether to use a new connection.
 
     Returns:
         The response, or None if the round trip failed.
     """
     started_at = membership.monotonic()
     result = await membership.call(
-        address_of(peer), path, message, answer_type, timeout_s=timeout_s
+        address_of(peer),
+        path,
+        message,
+        answer_type,
+        timeout_s=timeout_s,
+        fresh=fresh,
     )
     if isinstance(result, Success):
         record_peer_reached(membership, peer.node, membership.monotonic() - started_at)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -428,21 +428,41 @@
 
         self._run(10, scenario)
 
-    def test_payload_reaches_all_nodes_and_is_forwarded_only_while_new(self) -> None:
-        """Guards against pushes that reach too few nodes, or that never end."""
+    def _payload(self, value_by_node: dict[str, int], node: str) -> Payload:
+        """Return a payload with the highest number that the node has received."""
+
+        def read(sender: str, value: int) -> bool:
+            new = value > value_by_node.get(node, 0)
+            value_by_node[node] = max(value, value_by_node.get(node, 0))
+            return new
+
+        return Payload("number", int, lambda _: value_by_node.get(node), read)
+
+    def test_payload_is_pushed_while_open_connections_are_silent(self) -> None:
+        """Guards against a new version that is lost on connections to peers."""
         value_by_node: dict[str, int] = {}
 
-        def payload(node: str) -> Payload:
-            def read(sender: str, value: int) -> bool:
-                new = value > value_by_node.get(node, 0)
-                value_by_node[node] = max(value, value_by_node.get(node, 0))
-                return new
+        async def scenario(network: FakeNetwork, records: list[NodeRecord]) -> None:
+            for name, node in network.node_by_name.items():
+                payload = self._payload(value_by_node, name)
+                node.membership.payload_by_name["number"] = payload
+            network.pooled_silent = True
+            value_by_node[records[7].node] = 1
+            push_payload(network.node_by_name[records[7].node].membership, "number")
+            await asyncio.sleep(0.9)
+            self.assertThat(len(value_by_node), GreaterThan(24))
+
+        self._run(27, scenario)
 
-            return Payload("number", int, lambda _: value_by_node.get(node), read)
+    def test_payload_reaches_all_nodes_and_is_forwarded_only_while_new(self) -> None:
+        """Guards against pushes that reach too few nodes, or that never end."""
+        value_by_node: dict[str, int] = {}
 
         async def scenario(network: FakeNetwork, records: list[NodeRecord]) -> None:
             for name, node in network.node_by_name.items():
-                node.membership.payload_by_name["number"] = payload(name)
+                node.membership.payload_by_name["number"] = self._payload(
+                    value_by_node, name
+                )
             await asyncio.sleep(20)
             before = network.calls_by_path[PUSH]
             value_by_node[records[7].node] = 5
