--- a/soak/runner.py
+++ b/soak/runner.py
@@ -66,7 +66,10 @@
         await asyncio.sleep(FAULT_EFFECT_S)
         sender.cancel()
         await asyncio.wait({sender})
-        recovery_violations = await _check_recovery(site, connection_pool)
+        recovery_violations = [
+            *await _check_newest_configuration(context, connection_pool),
+            *await _check_recovery(site, connection_pool),
+        ]
         connection_pool.close()
         record = SoakRecord(
             outcomes,
@@ -157,6 +160,31 @@
         outcomes.append(outcome)
 
 
+async def _check_newest_configuration(
+    context: FaultContext, connection_pool: ConnectionPool
+) -> list[str]:
+    """Check that only the newest extra route is in force on each node.
+
+    Returns:
+        One line for each node with another configuration.
+    """
+    newest_first = reversed(list(context.configured_at_by_path)[-2:])
+    violations = []
+    for path, wrong_status in zip(newest_first, (404, 200), strict=False):
+        outcomes: list[RequestOutcome] = []
+        for node in context.site.process_by_node:
+            request_id = f"newest-{node}-{path}"
+            await _send_and_record(
+                context.site, outcomes, connection_pool, node, path, False, request_id
+            )
+        violations += [
+            f"another configuration in force at the end: {outcome}"
+            for outcome in outcomes
+            if outcome.status == wrong_status
+        ]
+    return violations
+
+
 async def _check_recovery(site: Site, connection_pool: ConnectionPool) -> list[str]:
     """Check that each node serves requests again after the faults.
 
