Take a connection that is reset before its first use for one that could not be opened

Cause: a peer that resets a connection right after accepting it closes the stream before the options of its socket are set.

Change: such a connection counts as not opened, so nothing was sent, and another target is tried.

Evidence: the test failed before with the same error.

--- a/siskinlug/connections.py
+++ b/siskinlug/connections.py
@@ -219,6 +219,10 @@
             refused = isinstance(cause, ConnectionRefusedError)
             yield Failure(ConnectFailure(address, str(cause), refused))
             return
+        if stream.closed():
+            cause = stream.error or "closed by the peer"
+            yield Failure(ConnectFailure(address, str(cause), False))
+            return
         stream.set_nodelay(True)
         _enable_keepalive(stream, pool.unacknowledged_s)
     connection = Connection(stream, address, reused=reused)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,6 +17,7 @@
 EMPTY = SoakRecord([], {}, {}, [], {})
 # Cause of the fault that each of these seeds has found.
 FAILED_SEEDS = {
+    9003: "a peer reset a new connection before its options were set: status 500",
     393421563: "the stand-in target changed its id between the parts of a response",
 }
 SHORT_SEED = 1
