--- a/siskinlug/node_runtime.py
+++ b/siskinlug/node_runtime.py
@@ -186,6 +186,7 @@
             CONFIGURATION_PATH,
             position,
             msgspec.Raw,
+            # A fetch is rare and urgent, and an idle connection may have gone silent.
             fresh=True,
         )
         return bytes(result.unwrap()) if isinstance(result, Success) else None
