--- a/soak/checks.py
+++ b/soak/checks.py
@@ -249,7 +249,7 @@
     ended_at: float,
     kinds: frozenset[str] = PROCESS_FAULTS,
 ) -> bool:
-    """Whether a node was restarted or paused in a span of time."""
+    """Whether a fault of one of these kinds affected a node in a span of time."""
     return any(
         fault.kind in kinds
         and fault.node == node
