--- a/siskinlug/config_sync.py
+++ b/siskinlug/config_sync.py
@@ -88,6 +88,7 @@
             ``failed``.
         push: Sends the position of this node to peers.
         nodes: Number of nodes in the fleet.
+        rank: Number of live nodes before this one in the order of names.
         snapshot_due_at: Monotonic time at which this node writes a snapshot, ``None``
             if none is due.
         log_gap: Whether the log dropped records that this node has not read.
@@ -119,6 +120,7 @@
         self.count_read = count_read
         self.push: Callable[[], object] = lambda: None
         self.nodes: Callable[[], int] = lambda: 1
+        self.rank: Callable[[], int] = lambda: 0
         self.snapshot_due_at: float | None = None
         self.log_gap = False
         self.ahead_by_peer: dict[str, ConfigurationPosition] = {}
@@ -190,6 +192,7 @@
     fetch: FetchState,
     push: Callable[[], object],
     nodes: Callable[[], int],
+    rank: Callable[[], int],
 ) -> None:
     """Keep a configuration that is declared as a whole up to date until cancelled.
 
@@ -199,9 +202,11 @@
         fetch: As for ``follow_configuration``.
         push: As for ``follow_configuration``.
         nodes: Number of nodes in the fleet, among which ``follow`` spreads its reads.
+        rank: Number of live nodes before this one in the order of names.
     """
     view.push = push
     view.nodes = nodes
+    view.rank = rank
     async with asyncio.TaskGroup() as tasks:
         tasks.create_task(follow(view))
         tasks.create_task(fetch_from_peers(view, fetch))
--- a/siskinlug/node_runtime.py
+++ b/siskinlug/node_runtime.py
@@ -197,10 +197,19 @@
     def nodes() -> int:
         return 1 + len(node.membership.live_peers())
 
+    def rank() -> int:
+        own = node.membership.directory.own_node
+        return sum(peer.node < own for peer in node.membership.live_peers())
+
     follow = node.options.follow_operator
     if follow is not None:
         await follow_declared_configuration(
-            node.configuration, follow, fetch=fetch, push=push, nodes=nodes
+            node.configuration,
+            follow,
+            fetch=fetch,
+            push=push,
+            nodes=nodes,
+            rank=rank,
         )
         return
     await follow_configuration(
