--- a/soak/faults.py
+++ b/soak/faults.py
@@ -12,7 +12,7 @@
 
 # Time after which the platform restarts a process.
 RESTART_S = 0.4
-STORE_FAULTS = ("busy", "reset", "lost", "malformed", "silent")
+STORE_FAULTS = ("busy", "reset", "lost", "malformed", "silent", "late")
 # Share of returns from an older copy after which the operator writes a newer version.
 NEWER_AFTER_RESTORE_SHARE = 0.5
 # Share of faults of the store in which open reads never get a response.
