--- a/siskinlug/gossip.py
+++ b/siskinlug/gossip.py
@@ -93,28 +93,27 @@
     """
     own = membership.directory.own_record
     peers = sample_peers(membership, len(membership.directory.record_by_node))
-    chosen = _next_in_ring(own, peers)
-    others = [peer for peer in peers if peer not in chosen]
-    near = [peer for peer in others if peer.failure_domain == own.failure_domain]
-    far = [peer for peer in others if peer.failure_domain != own.failure_domain]
-    far_chosen = sum(peer.failure_domain != own.failure_domain for peer in chosen)
-    far_count = max(PUSH_FANOUT_FAR - far_chosen, PUSH_FANOUT - len(chosen) - len(near))
-    chosen += far[:far_count]
+    successor = _next_in_ring(own, peers)
+    peers.sort(key=lambda peer: peer is not successor)
+    near = [peer for peer in peers if peer.failure_domain == own.failure_domain]
+    far = [peer for peer in peers if peer.failure_domain != own.failure_domain]
+    far_count = max(PUSH_FANOUT_FAR, PUSH_FANOUT - len(near))
+    chosen = far[:far_count]
     return chosen + near[: PUSH_FANOUT - len(chosen)]
 
 
-def _next_in_ring(own: NodeRecord, peers: Sequence[NodeRecord]) -> list[NodeRecord]:
-    """Return the peer that follows a node, or none if there are no peers.
+def _next_in_ring(own: NodeRecord, peers: Sequence[NodeRecord]) -> NodeRecord | None:
+    """Return the peer that follows a node, or ``None`` if there are no peers.
 
     The order is by failure domain and name, so that few nodes are followed by one of
-    another domain.
+    another domain. The last node is followed by the first.
     """
 
-    def place(record: NodeRecord) -> tuple[bool, str, str]:
-        key = record.failure_domain, record.node
-        return key < (own.failure_domain, own.node), *key
+    def place(record: NodeRecord) -> tuple[str, str]:
+        return record.failure_domain, record.node
 
-    return [min(peers, key=place)] if peers else []
+    later = [peer for peer in peers if place(peer) > place(own)]
+    return min(later or peers, key=place, default=None)
 
 
 def make_ping(membership: Membership, receiver: RecordSummary | None) -> Gossip:
