--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,6 +1,7 @@
 """A withdrawn upstream gets requests again after all processes were killed."""
 
 import asyncio
+import random
 import signal
 import sys
 from pathlib import Path
@@ -21,9 +22,13 @@
 )
 
 SERVICE = "catalogue"
-ROUTES = [Route("r-check", "/check/", "safe", 5, 2.5, 2, SERVICE)]
+ROUTES = [
+    Route("r-check", "/check/", "safe", 5, 2.5, 2, SERVICE),
+    Route("r-book", "/book/", "unsafe", 6, 2.5, 1, SERVICE),
+]
 MACHINES = 6
 PAUSE_S = 0.05
+WORK_S = 0.48
 # All processes are killed this long after the upstream has withdrawn.
 KILL_AFTER_S = 1.0
 # The last heartbeat before the withdrawal arrives this late.
@@ -40,7 +45,10 @@
     leaving = fleet.nodes[0].upstream
     owner = 0
     acknowledged_at = float("inf")
+    exited = False
     broken: list[str] = []
+    # Requests that the upstream was running when it exited.
+    lost: list[str] = []
 
     def in_touch(machine: int, at: float) -> bool:
         return at - started_at[machine] > STABILITY_WINDOW_S
@@ -57,21 +65,28 @@
                 id=request_id,
                 after_s=round(now - acknowledged_at, 3),
             )
-        await asyncio.sleep(0.3)
-        return 200, b"ok"
+        await asyncio.sleep(WORK_S)
+        return 200, b"booked"
 
     async def send(number: int) -> None:
         machine, request_id = number % MACHINES, f"req-{number:04d}"
+        is_booking = random.random() < 0.5
         sent_at[request_id], entry_of[request_id] = recorder.now(), machine
         answer = await call(
             fleet.nodes[machine].host,
             OUTBOUND_PORT,
-            "GET",
-            f"/check/{number}",
+            *(
+                ("POST", f"/book/{number}")
+                if is_booking
+                else ("GET", f"/check/{number}")
+            ),
             {"Siskinlug-Request-Id": request_id, "Siskinlug-Deadline-Ms": "5000"},
+            b"x" * 4000 if is_booking else b"",
             timeout_s=5.0,
         )
         recorder.note("answered", id=request_id, machine=machine, status=answer.status)
+        if exited and request_id in leaving.runs and answer.status != 200:
+            lost.append(request_id)
 
     async def keep_sending() -> None:
         number = 0
@@ -91,6 +106,8 @@
             node.start()
             started_at[machine] = recorder.now()
 
+    for node in fleet.nodes:
+        node.upstream.work = node.upstream.work_s(WORK_S)
     leaving.work = work
     fleet.run(keep_sending())
     await asyncio.sleep(3.0)
@@ -109,7 +126,13 @@
     status = await leaving.beat(state="ready", sequence=late_sequence)
     recorder.note("late heartbeat", upstream=leaving.name, status=status)
     await asyncio.sleep(max(0.0, acknowledged_at + SERVES_S - recorder.now()))
+    exited = True
+    leaving.abort()
+    recorder.note("the withdrawn upstream exits", upstream=leaving.name)
+    await asyncio.sleep(1.0)
     print(f"{len(broken)} requests reached the withdrawn upstream")
+    print(f"{len(lost)} requests that it was running when it exited were lost")
+    recorder.note("lost at its exit", ids=lost)
     return not broken
 
 
--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -253,6 +253,14 @@
             self.write
         )
         self.server: asyncio.Server | None = None
+        self.writers: set[asyncio.StreamWriter] = set()
+
+    def abort(self) -> None:
+        """End as a crash does: reset all connections and stop listening."""
+        if self.server is not None:
+            self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
 
     def work_s(
         self, seconds: float
@@ -279,6 +287,7 @@
     async def _connected(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self.writers.add(writer)
         try:
             while (request := await read_request(reader)) is not None:
                 serving = asyncio.ensure_future(self._serve(request, writer))
@@ -300,6 +309,7 @@
         except (BrokenMessageError, ConnectionError, ValueError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def _serve(self, request: Request, writer: asyncio.StreamWriter) -> None:
