--- a/review/1/case.py
+++ b/review/1/case.py
@@ -29,7 +29,8 @@
 # How late the copy of an answer comes.
 EXTRA_LATE_S = (0.02, 0.1)
 PAUSE_S = 0.04
-SENDING_S = 88.0
+# Bookings end at this time of the case, which leaves time for the last answers.
+SENDING_ENDS_AT_S = 98.0
 
 
 async def case(fleet: Fleet, recorder: Recorder, trouble: bool) -> bool:
@@ -89,8 +90,7 @@
         upstream.send = send_answer
     sending = []
     number = 0
-    end = recorder.now() + SENDING_S
-    while recorder.now() < end:
+    while recorder.now() < SENDING_ENDS_AT_S:
         sending.append(asyncio.ensure_future(send(number)))
         number += 1
         await asyncio.sleep(PAUSE_S)
