--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,6 +1,7 @@
 """The copy of a refusal is taken for the answer to the request's next attempt."""
 
 import asyncio
+import os
 import random
 import sys
 from pathlib import Path
@@ -106,4 +107,6 @@
     return not twice and not refused_and_run
 
 
-run_case(Path(__file__).resolve().parent, SERVICES, ROUTES, case)
+FOLDER = Path(__file__).resolve().parent
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+run_case(FOLDER, SERVICES, ROUTES, case, trouble=TROUBLE)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -84,4 +84,6 @@
     return not changed and not wrong_answers
 
 
-run_case(Path(__file__).resolve().parent, [SERVICE] * MACHINES, ROUTES, case)
+FOLDER = Path(__file__).resolve().parent
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+run_case(FOLDER, [SERVICE] * MACHINES, ROUTES, case, trouble=TROUBLE)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,6 +1,7 @@
 """A path that equals a route's prefix without its slash goes to that route."""
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
@@ -62,4 +63,6 @@
     return not misrouted
 
 
-run_case(Path(__file__).resolve().parent, SERVICES, [ORDERS], case)
+FOLDER = Path(__file__).resolve().parent
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+run_case(FOLDER, SERVICES, [ORDERS], case, trouble=TROUBLE)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,6 +1,7 @@
 """A response that stops in the middle keeps its client waiting past the timeout."""
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
@@ -101,4 +102,6 @@
     return len(past) < MIN_LATE or len(late) <= MAX_LATE_SHARE * len(past)
 
 
-run_case(Path(__file__).resolve().parent, [SERVICE] * MACHINES, ROUTES, case)
+FOLDER = Path(__file__).resolve().parent
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+run_case(FOLDER, [SERVICE] * MACHINES, ROUTES, case, trouble=TROUBLE)
--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -25,7 +25,8 @@
 ROOT = Path(__file__).resolve().parent.parent.parent
 # A case that takes longer could not run.
 TIME_LIMIT_S = 115.0
-HELD, BROKEN, NOT_RUN = 0, 1, 2
+# Exit codes, which run.sh turns into its own; an uncaught error of Python exits with 1.
+HELD, BROKEN, NOT_RUN = 0, 10, 2
 HEARTBEAT_S = 1.5
 STABILITY_WINDOW_S = 3.0
 DRAIN_S = 2.0
@@ -802,7 +803,12 @@
 
 
 def run_case(
-    folder: Path, services: list[str], routes: list[Route], case: Case
+    folder: Path,
+    services: list[str],
+    routes: list[Route],
+    case: Case,
+    *,
+    trouble: bool,
 ) -> None:
     """Run a case and exit with its result.
 
@@ -810,10 +816,9 @@
         folder: Folder of the case, for ``record.txt``.
         services: Service of each machine.
         routes: Routes of the first configuration.
-        case: Returns whether the rule held; its last argument is whether there is
-            trouble.
+        case: Returns whether the rule held; its last argument is ``trouble``.
+        trouble: Whether the disruption comes; false if TROUBLE is 0.
     """
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     recorder = Recorder(folder / "record.txt")
 
     async def play(temporary: Path) -> bool:
