Log on which connection a target refused, and how soon

Whether a refusal answers the attempt that waits for it, or an earlier one on the same connection, could not be told from the log. The event `shed` now names the connection by a number in its pool, whether it was reused and the time to the answer. Idle connections keep their `Connection`, so that the number outlasts one use. No change of logic.

--- a/siskinlug/connections.py
+++ b/siskinlug/connections.py
@@ -47,14 +47,16 @@
     Attributes:
         stream: Underlying stream.
         address: Host and port.
+        number: Number of the connection within its pool, for the logs.
         reused: Whether it was taken from the pool, not opened for this use.
         reusable: Whether it may return to the pool; set by its user.
     """
 
-    def __init__(self, stream: IOStream, address: Address, *, reused: bool) -> None:
+    def __init__(self, stream: IOStream, address: Address, *, number: int) -> None:
         self.stream = stream
         self.address = address
-        self.reused = reused
+        self.number = number
+        self.reused = False
         self.reusable = False
 
 
@@ -67,40 +69,45 @@
         self.monotonic = monotonic
         self.unacknowledged_s = unacknowledged_s
         self.client = TCPClient()
-        self.idle_by_address: dict[Address, deque[tuple[IOStream, float]]] = {}
+        # Each connection with the time since when it has been idle.
+        self.idle_by_address: dict[Address, deque[tuple[Connection, float]]] = {}
         self.closed = False
+        self.opened_count = 0
 
-    def take_idle(self, address: Address, max_idle_s: float) -> IOStream | None:
-        """Remove and return the most recently used idle stream to an address.
+    def take_idle(self, address: Address, max_idle_s: float) -> Connection | None:
+        """Remove and return the most recently used idle connection to an address.
 
-        Streams that were idle for longer than ``max_idle_s`` are closed, and those on
-        which the peer has sent anything since, which the next user would take for the
-        response to its own request.
+        Connections that were idle for longer than ``max_idle_s`` are closed, and those
+        on which the peer has sent anything since, which the next user would take for
+        the response to its own request.
 
         Args:
             address: Host and port.
             max_idle_s: Maximum idle time, in seconds.
 
         Returns:
-            The stream, or ``None`` if there is none.
+            The connection, or ``None`` if there is none.
         """
         idle = self.idle_by_address.get(address)
         while idle:
-            stream, since = idle.pop()
+            connection, since = idle.pop()
+            stream = connection.stream
             if stream.closed():
                 continue
             if self.monotonic() - since <= max_idle_s and not _has_unread(stream):
                 stream.set_close_callback(None)
-                return stream
+                connection.reused, connection.reusable = True, False
+                return connection
             stream.close()
         return None
 
-    def put_idle(self, stream: IOStream, address: Address) -> None:
-        """Return a stream to the pool, or close it.
+    def put_idle(self, connection: Connection) -> None:
+        """Return a connection to the pool, or close it.
 
         It is closed if the pool is full or closed, or if the peer has sent more than
         the response.
         """
+        stream, address = connection.stream, connection.address
         idle = self.idle_by_address.get(address, deque())
         is_full = len(idle) >= MAX_IDLE_PER_ADDRESS
         if self.closed or is_full or _has_unread(stream):
@@ -110,7 +117,7 @@
         # A close callback also makes tornado watch the idle stream for a close by the
         # peer, which it would not notice without a pending read.
         stream.set_close_callback(lambda: self._remove_idle(stream, address))
-        idle.append((stream, self.monotonic()))
+        idle.append((connection, self.monotonic()))
 
     def close_idle_connections(self, address: Address) -> int:
         """Close all idle connections to an address.
@@ -119,9 +126,9 @@
             Number of closed connections.
         """
         idle = self.idle_by_address.pop(address, deque())
-        for stream, _ in idle:
-            stream.set_close_callback(None)
-            stream.close()
+        for connection, _ in idle:
+            connection.stream.set_close_callback(None)
+            connection.stream.close()
         return len(idle)
 
     def close(self) -> None:
@@ -132,7 +139,7 @@
 
     def _remove_idle(self, stream: IOStream, address: Address) -> None:
         idle = self.idle_by_address.get(address, deque())
-        remaining = deque(entry for entry in idle if entry[0] is not stream)
+        remaining = deque(entry for entry in idle if entry[0].stream is not stream)
         if remaining:
             self.idle_by_address[address] = remaining
         else:
@@ -204,9 +211,8 @@
         The connection, or why none could be opened. The connection returns to the pool
         afterwards if it was marked reusable, and is closed otherwise.
     """
-    stream = None if fresh else pool.take_idle(address, max_idle_s)
-    reused = stream is not None
-    if stream is None:
+    connection = None if fresh else pool.take_idle(address, max_idle_s)
+    if connection is None:
         try:
             stream = await pool.client.connect(
                 address[0], address[1], timeout=timedelta(seconds=timeout_s)
@@ -225,11 +231,12 @@
             return
         stream.set_nodelay(True)
         _enable_keepalive(stream, pool.unacknowledged_s)
-    connection = Connection(stream, address, reused=reused)
+        pool.opened_count += 1
+        connection = Connection(stream, address, number=pool.opened_count)
     try:
         yield Success(connection)
     finally:
-        if connection.reusable and not stream.closed():
-            pool.put_idle(stream, address)
+        if connection.reusable and not connection.stream.closed():
+            pool.put_idle(connection)
         else:
-            stream.close()
+            connection.stream.close()
--- a/siskinlug/owner.py
+++ b/siskinlug/owner.py
@@ -457,11 +457,11 @@
                 )
                 return
             answer = result.unwrap()
-            if refusal := _target_refusal(run, answer):
-                yield Failure(refusal)
-                return
             # Time to the response head, since the body may wait for a slow caller.
             service_s = run.owner.monotonic() - started_at
+            if refusal := _target_refusal(run, connection, answer, service_s):
+                yield Failure(refusal)
+                return
             answer.headers["Siskinlug-Service-Ms"] = f"{service_s * 1000:.2f}"
             try:
                 yield Success(answer)
@@ -499,11 +499,11 @@
                 yield Failure(may_have_run(reason, detail))
                 return
             answer = result.unwrap()
-            if refusal := _target_refusal(run, answer):
+            service_s = owner.monotonic() - started_at
+            if refusal := _target_refusal(run, connection, answer, service_s):
                 yield Failure(refusal)
                 return
-            _record_shed(run, shed=False)
-            service_s = owner.monotonic() - started_at
+            _record_shed(run, connection, shed=False, service_s=service_s)
             answer.headers["Siskinlug-Service-Ms"] = f"{service_s * 1000:.2f}"
             if answer.status >= 500:
                 fast = service_s < FAST_ERROR_S
@@ -544,7 +544,9 @@
         run.owned.admission.refuse_queued(Reason.TARGET_DOUBTED)
 
 
-def _record_shed(run: _Run, *, shed: bool) -> None:
+def _record_shed(
+    run: _Run, connection: Connection, *, shed: bool, service_s: float
+) -> None:
     share = record_shed(run.owned.health_estimate, shed=shed)
     if shed:
         log_event(
@@ -553,6 +555,9 @@
             request_id=run.request_id,
             attempt=run.request.attempt,
             route=run.request.route,
+            connection=connection.number,
+            reused=connection.reused,
+            answer_ms=round(service_s * 1000, 2),
             share=round(share, 3),
         )
 
@@ -564,8 +569,17 @@
         owner.on_suspicions()
 
 
-def _target_refusal(run: _Run, answer: Answer) -> Refusal | None:
-    """Convert a response that means "not run" into a refusal."""
+def _target_refusal(
+    run: _Run, connection: Connection, answer: Answer, service_s: float
+) -> Refusal | None:
+    """Convert a response that means "not run" into a refusal.
+
+    Args:
+        run: The attempt.
+        connection: The connection on which the response arrived.
+        answer: The response.
+        service_s: Time from the start of the attempt to the response, in seconds.
+    """
     dialect = run.owner.dialect
     if answer.status == 421 and dialect.expected_target:
         run.slot.record_outcome(status=None, service_s=0.0, shed=False)
@@ -577,7 +591,7 @@
     ):
         run.slot.record_outcome(status=503, service_s=0.0, shed=True)
         if run.owner.estimates_health:
-            _record_shed(run, shed=True)
+            _record_shed(run, connection, shed=True, service_s=service_s)
         return not_run(Reason.TARGET_SHED, run.request.target)
     return None
 
