Send no request twice on one connection to a target

Cause: a response was matched by the request id that targets echo, and all attempts of a request have that id. After a refusal the connection went back to the pool and the next attempt took it; a copy of the refusal, sent late, was then its answer.

Why this works: a connection remembers the requests that it carried and is not used for them again, so the id on a connection names one attempt, whatever the status. After 256 requests it is replaced, so nothing is forgotten.

--- a/siskinlug/connections.py
+++ b/siskinlug/connections.py
@@ -18,6 +18,8 @@
 # request lost on it may have run, so a non-idempotent one could not be retried.
 MAX_IDLE_NON_IDEMPOTENT_S = 2.0
 MAX_IDLE_PER_ADDRESS = 64
+# Requests whose ids a connection remembers. It is replaced when it has carried as many.
+MAX_CARRIED_REQUESTS = 256
 # A peer may no longer acknowledge, for example because a middlebox dropped the
 # connection. The kernel then closes it after this time, even while a long-running
 # request has no response yet.
@@ -50,6 +52,7 @@
         number: Number of the connection within its pool, for the logs.
         reused: Whether it was taken from the pool, not opened for this use.
         reusable: Whether it may return to the pool; set by its user.
+        carried_requests: Ids of the requests that were sent on it.
     """
 
     def __init__(self, stream: IOStream, address: Address, *, number: int) -> None:
@@ -58,6 +61,21 @@
         self.number = number
         self.reused = False
         self.reusable = False
+        self.carried_requests: set[str] = set()
+
+    @property
+    def is_exhausted(self) -> bool:
+        """Whether it can remember no further request."""
+        return len(self.carried_requests) >= MAX_CARRIED_REQUESTS
+
+    def record_request(self, request_id: str) -> None:
+        """Remember that a request was sent on it; an empty id is ignored.
+
+        A late copy of the response has the id of the request, so another attempt of the
+        same request must not use the connection.
+        """
+        if request_id:
+            self.carried_requests.add(request_id)
 
 
 class ConnectionPool:
@@ -74,7 +92,9 @@
         self.closed = False
         self.opened_count = 0
 
-    def take_idle(self, address: Address, max_idle_s: float) -> Connection | None:
+    def take_idle(
+        self, address: Address, max_idle_s: float, request_id: str = ""
+    ) -> Connection | None:
         """Remove and return the most recently used idle connection to an address.
 
         Connections that were idle for longer than ``max_idle_s`` are closed, and those
@@ -84,33 +104,43 @@
         Args:
             address: Host and port.
             max_idle_s: Maximum idle time, in seconds.
+            request_id: Id of the request to be sent, empty if it has none. Connections
+                that have carried it stay in the pool.
 
         Returns:
             The connection, or ``None`` if there is none.
         """
         idle = self.idle_by_address.get(address)
-        while idle:
+        passed_over: list[tuple[Connection, float]] = []
+        found = None
+        while idle and found is None:
             connection, since = idle.pop()
             stream = connection.stream
             if stream.closed():
                 continue
-            if self.monotonic() - since <= max_idle_s and not _has_unread(stream):
+            if self.monotonic() - since > max_idle_s or _has_unread(stream):
+                stream.close()
+            elif request_id and request_id in connection.carried_requests:
+                passed_over.append((connection, since))
+            else:
                 stream.set_close_callback(None)
                 connection.reused, connection.reusable = True, False
-                return connection
-            stream.close()
-        return None
+                found = connection
+        if idle is not None:
+            idle.extend(reversed(passed_over))
+        return found
 
     def put_idle(self, connection: Connection) -> None:
         """Return a connection to the pool, or close it.
 
-        It is closed if the pool is full or closed, or if the peer has sent more than
-        the response.
+        It is closed if the pool is full or closed, if the peer has sent more than the
+        response, or if the connection can remember no further request.
         """
         stream, address = connection.stream, connection.address
         idle = self.idle_by_address.get(address, deque())
         is_full = len(idle) >= MAX_IDLE_PER_ADDRESS
-        if self.closed or is_full or _has_unread(stream):
+        is_spent = is_full or connection.is_exhausted
+        if self.closed or is_spent or _has_unread(stream):
             stream.close()
             return
         self.idle_by_address[address] = idle
@@ -196,6 +226,7 @@
     *,
     max_idle_s: float = MAX_IDLE_S,
     fresh: bool = False,
+    request_id: str = "",
     timeout_s: float = CONNECT_TIMEOUT_S,
 ) -> AsyncIterator[Result[Connection, ConnectFailure]]:
     """Take a connection to an address from the pool, or open one.
@@ -205,13 +236,15 @@
         address: Host and port.
         max_idle_s: Maximum idle time of a connection from the pool, in seconds.
         fresh: Whether to open a new connection even if one is idle.
+        request_id: Id of a request that may be sent to the address more than once. It
+            gets no connection on which ``Connection.record_request`` recorded it.
         timeout_s: Timeout for connecting, in seconds.
 
     Yields:
         The connection, or why none could be opened. The connection returns to the pool
         afterwards if it was marked reusable, and is closed otherwise.
     """
-    connection = None if fresh else pool.take_idle(address, max_idle_s)
+    connection = None if fresh else pool.take_idle(address, max_idle_s, request_id)
     if connection is None:
         try:
             stream = await pool.client.connect(
--- a/siskinlug/owner.py
+++ b/siskinlug/owner.py
@@ -393,6 +393,7 @@
         owner.connections,
         (announcement["host"], announcement["port"]),
         max_idle_s=MAX_IDLE_S if request.idempotent else MAX_IDLE_NON_IDEMPOTENT_S,
+        request_id=run.request_id,
         timeout_s=min(CONNECT_TIMEOUT_S, remaining_s),
     ) as connected:
         if isinstance(connected, Failure):
@@ -601,7 +602,8 @@
 ) -> bool:
     """Whether a response belongs to the request that was sent last.
 
-    A late response to an earlier request on the connection has the id of that request.
+    A late response to an earlier request on the connection has the id of that request,
+    and no connection carries a request twice.
     """
     if answer_id is None:
         # A target that fails before it has read the request does not know its id.
@@ -636,6 +638,7 @@
     if dialect.expected_target:
         headers[dialect.expected_target] = run.request.target
     request_id = headers.get(dialect.request_id)
+    connection.record_request(run.request_id)
     sent_at = run.owner.monotonic()
     async with exchange(
         connection, head, body, first_byte_timeout_s=remaining_s
