Let a path prefix that ends with a slash match only what is below it

Evidence: match_route alone, with the tables of the case, picks the longer route for /orders/archive and the right one for /orders/archived/1.

Why this works: a prefix keeps its slash and must begin the path, in the index that all requests and `explain` use. Prefixes without a slash mean what they meant.

--- a/siskinlug/routing.py
+++ b/siskinlug/routing.py
@@ -1,7 +1,7 @@
 """Match requests to routes by host, path and method."""
 
 import re
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from typing import NamedTuple
 
 from siskinlug.tables import ANY, Route, Tables
@@ -33,7 +33,9 @@
 def match_route(tables: Tables, method: str, host: str, path: str) -> Route | None:
     """Return the route of a request.
 
-    A route matches if its host, path prefix and methods all match. Among several, an
+    A route matches if its host, path prefix and methods all match. A prefix that ends
+    with a slash matches the paths below it; one without also matches itself. Among
+    several routes, an
     exact host wins over ``*``, then the longest path prefix wins, then a route that
     names the method wins over one for any method.
 
@@ -60,18 +62,31 @@
 
 
 def _longest_match(host_routes: _HostRoutes, method: str, path: str) -> Route | None:
-    # A path may be far longer than any prefix; truncating it first limits the work.
-    if len(path) > host_routes.max_prefix_chars:
-        path = path[: path.rfind("/", 0, host_routes.max_prefix_chars + 1)] or "/"
-    while True:
-        by_method = host_routes.routes_by_prefix.get(path)
+    for prefix in _prefixes(path, host_routes.max_prefix_chars):
+        by_method = host_routes.routes_by_prefix.get(prefix)
         if by_method is not None:
             route = by_method.get(method) or by_method.get(ANY)
             if route is not None:
                 return route
-        if path == "/":
-            return None
-        path = path[: path.rfind("/")] or "/"
+    return None
+
+
+def _prefixes(path: str, max_chars: int) -> Iterator[str]:
+    """Yield the path and its prefixes that end before or after a slash, longest first.
+
+    Args:
+        path: A path that starts with a slash.
+        max_chars: Length of the longest prefix of interest. A path may be far longer;
+            starting there limits the work.
+    """
+    if len(path) <= max_chars:
+        yield path
+    slash = path.rfind("/", 0, max_chars + 1)
+    while slash > 0:
+        yield path[: slash + 1]
+        yield path[:slash]
+        slash = path.rfind("/", 0, slash)
+    yield "/"
 
 
 def _cached_index(routes_by_name: Mapping[str, Route]) -> _RouteIndex:
--- a/siskinlug/tables.py
+++ b/siskinlug/tables.py
@@ -37,7 +37,8 @@
     Attributes:
         name: Section name, unique.
         host: Host name to match, without port; ``*`` matches any.
-        path_prefix: Path prefix to match by whole segments, starting with ``/``.
+        path_prefix: Path prefix to match by whole segments, starting with ``/``. If it
+            ends with ``/``, the path without that slash does not match.
         methods: Methods to match; empty matches any.
         pool: Name of the pool.
         timeout_s: Time within which a caller gets the first byte of the response, in
@@ -129,8 +130,8 @@
 # Dot segments and unnecessary escapes are removed before a path is matched, so a prefix
 # that contains one could never match.
 _PATH_PREFIX = matching(
-    r"/|(?!.*/\.{1,2}(/|$))(/[A-Za-z0-9._~!$&'()*+,;=:@-]+){1,32}",
-    "a path of plain segments with '/' at its start and none at its end",
+    r"/|(?!.*/\.{1,2}(/|$))(/[A-Za-z0-9._~!$&'()*+,;=:@-]+){1,32}/?",
+    "a path of plain segments with '/' at its start",
 )
 _HEADER = matching(r"[A-Za-z][A-Za-z0-9-]{0,63}", "a header name")
 _METHOD = matching(r"[A-Z]{1,16}", "a method in upper case")
@@ -180,7 +181,11 @@
 ROUTE_SPECS: Mapping[str, KeySpec] = {
     "host": KeySpec(_HOST, ANY, "", "Host to match without port; `*` is any."),
     "path_prefix": KeySpec(
-        _PATH_PREFIX, "/", "", "Path to match together with all paths below it."
+        _PATH_PREFIX,
+        "/",
+        "",
+        "Path to match together with all paths below it; with `/` at its end, only the "
+        "paths below it.",
     ),
     "methods": KeySpec(
         _list_of(_METHOD),
--- a/tests/test_tables.py
+++ b/tests/test_tables.py
@@ -23,7 +23,11 @@
 
 EXAMPLES = Path(__file__).resolve().parent.parent / "examples"
 
-PATHS = st.lists(st.sampled_from("ab"), max_size=4).map(lambda s: "/" + "/".join(s))
+PATHS = st.lists(st.sampled_from("ab"), max_size=4).flatmap(
+    lambda s: st.sampled_from(
+        ["/" + "/".join(s), "/" + "/".join([*s, ""])] if s else ["/"]
+    )
+)
 ROUTES = st.lists(
     st.tuples(
         st.sampled_from(["*", "x.example"]), PATHS, st.sampled_from(["", "GET", "PUT"])
@@ -45,7 +49,11 @@
         route
         for route in routes
         if route.host in (host, "*")
-        and (path + "/").startswith(route.path_prefix.rstrip("/") + "/")
+        and (
+            path.startswith(route.path_prefix)
+            if route.path_prefix.endswith("/")
+            else (path + "/").startswith(route.path_prefix + "/")
+        )
         and (not route.methods or method in route.methods)
     ]
     return max(
@@ -146,6 +154,25 @@
             found = match_route(tables, "GET", "h:80", path)
             self.assertThat(found is not None, Equals(matches), path)
 
+    def test_prefix_with_a_slash_at_its_end_does_not_match_itself(self) -> None:
+        """Guards against ``/orders/archive/`` taking requests for ``/orders/archive``.
+
+        They belong to the route that a shorter prefix selects, or to none.
+        """
+        orders = Route("orders", "*", "/orders/", (), "bookings")
+        archive = Route("archive", "*", "/orders/archive/", (), "records")
+        for path, name in [
+            ("/orders/archive", "orders"),
+            ("/orders/archive?year=1", "orders"),
+            ("/orders/archive/", "archive"),
+            ("/orders/archive/1", "archive"),
+            ("/orders/archived/1", "orders"),
+            ("/orders", None),
+            ("/", None),
+        ]:
+            found = match_route(_tables(orders, archive), "GET", "h", path)
+            self.assertThat(found and found.name, Equals(name), path)
+
     def test_other_spellings_of_a_path_reach_its_route(self) -> None:
         """Guards against a caller that bypasses a route by escapes or dot segments."""
         tables = _tables(
