Bound the whole response by the route's time, not its head alone

Cause: the deadline ended with the head of the response. The body had a limit of 60 s between two pieces only, at the entry and at the owner, whose slot stayed taken.

Evidence: with each framing, with 0, 2 and 300,000 bytes sent, with and without a hop, the request ended at 60 s; a body that trickles never; a target with one slot served nothing meanwhile. Probes had the same fault.

Why this works: `exchange`, which every response passes, lets a body expire that is not complete at a time limit, at the entry and at the owner; writes to slow callers end too. A complete response is still delivered late.

--- a/siskinlug/attempt_loop.py
+++ b/siskinlug/attempt_loop.py
@@ -101,7 +101,7 @@
                             earn_credit(budget)
                         return None
                     # The caller has received no byte of this response.
-                    refusal = may_have_run(Reason.TARGET_RESET, "the answer was cut")
+                    refusal = _cut_refusal(entry, request)
                 else:
                     complete = await buffer_failure(entry, request, target, answer)
                     buffered_failure = complete or buffered_failure
@@ -122,6 +122,15 @@
         entry.metrics.retries.add(1, {"pool": request.pool.name})
 
 
+def _cut_refusal(entry: Entry, request: Request) -> Refusal:
+    """Return the refusal for a response that ended early, by itself or in time."""
+    # Its owner ends it a margin before the deadline, and the header is in whole ms.
+    latest = request.answer_deadline - 2 * DEADLINE_MARGIN_S
+    if entry.monotonic() >= latest:
+        return may_have_run(Reason.DEADLINE, "the answer was not complete in time")
+    return may_have_run(Reason.TARGET_RESET, "the answer was cut")
+
+
 def _hedge_after_s(
     entry: Entry,
     inbound: InboundRequest,
@@ -285,6 +294,7 @@
         long_work=request.long_work,
         idempotent=request.route.idempotent,
         deadline=request.deadline - DEADLINE_MARGIN_S,
+        answer_deadline=request.answer_deadline - DEADLINE_MARGIN_S,
         baseline_s=median_service_time_s(entry, request.route.name),
         fingerprint=request.fingerprint,
         min_health=placement.min_health,
--- a/siskinlug/body.py
+++ b/siskinlug/body.py
@@ -3,7 +3,7 @@
 import asyncio
 import math
 from collections import deque
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 # Buffered bytes from which the reading side of a streamed body is paused.
 HIGH_WATER_BYTES = 262_144
@@ -28,6 +28,9 @@
         received_bytes: Number of bytes received so far.
         complete: Whether the body was received in full.
         cut: Whether the body ended early.
+        expired: Whether it was cut because its deadline had passed.
+        sender_stalled: Whether its sender, not its reader, was late when it expired.
+        on_expired: Called when it expires, for a reader that waits for something else.
     """
 
     def __init__(self, *, replay_bytes: int = 0, limit_bytes: float = math.inf) -> None:
@@ -37,6 +40,9 @@
         self.received_bytes = 0
         self.complete = False
         self.cut = False
+        self.expired = False
+        self.sender_stalled = False
+        self.on_expired: Callable[[], object] = lambda: None
         self._replay_bytes = replay_bytes
         self._retained_chunks: list[bytes] = []
         self._unread: deque[bytes] = deque()
@@ -93,6 +99,15 @@
         self._resume_reading()
         self._changed.set()
 
+    def expire(self) -> None:
+        """Cut the body because its deadline has passed, unless it is complete."""
+        if self.complete or self.cut:
+            return
+        self.expired = True
+        self.sender_stalled = self._reading_resumed is None
+        self.cut_off()
+        self.on_expired()
+
     def discard(self) -> None:
         """Drop buffered data and let the reading side continue."""
         self._unread.clear()
--- a/siskinlug/entry.py
+++ b/siskinlug/entry.py
@@ -142,6 +142,7 @@
         detail = f"Idempotency-Key is longer than {MAX_KEY_CHARS} characters"
         return Failure(not_run(Reason.BAD_REQUEST, detail))
     fingerprint_key = f"{account}:{key}" if key else ""
+    caller_wait_s = _caller_wait_s(entry, head)
     return Success(
         Request(
             request_id=request_id,
@@ -154,7 +155,9 @@
                 and is_long_work(entry.service_times, route.name)
             ),
             started_at=started_at,
-            deadline=started_at + min(route.timeout_s, _caller_wait_s(entry, head)),
+            deadline=started_at + min(route.timeout_s, caller_wait_s),
+            answer_deadline=started_at
+            + min(route.answer_timeout_s or math.inf, caller_wait_s),
             fingerprint=_fingerprint(fingerprint_key, inbound),
             key=key,
             head=RequestHead(
--- a/siskinlug/entry_state.py
+++ b/siskinlug/entry_state.py
@@ -41,7 +41,9 @@
         account: The caller's account; empty if there is none.
         long_work: Whether the request counts as long work.
         started_at: When its head arrived, monotonic seconds.
-        deadline: When the caller stops waiting, monotonic seconds.
+        deadline: When the caller must have the head of the response, monotonic seconds.
+        answer_deadline: When it must have the whole response, monotonic seconds;
+            infinite for no limit.
         fingerprint: Fingerprint for the quarantine.
         key: The idempotency key; empty if there is none.
         head: The request head that is sent to a target.
@@ -54,6 +56,7 @@
     long_work: bool
     started_at: float
     deadline: float
+    answer_deadline: float
     fingerprint: str
     key: str
     head: RequestHead
--- a/siskinlug/exchange.py
+++ b/siskinlug/exchange.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import math
-from collections.abc import AsyncIterator, Awaitable, Callable, Container
-from contextlib import asynccontextmanager, suppress
+from collections.abc import AsyncIterator, Awaitable, Callable, Container, Iterator
+from contextlib import asynccontextmanager, contextmanager, suppress
 from typing import NamedTuple
 
 from returns.result import Failure, Result, Success
@@ -23,7 +23,7 @@
 
 MAX_ANSWER_HEAD_BYTES = 131_072
 CHUNK_BYTES = 65_536
-# Maximum pause within a response body. The time to the head is limited by the route.
+# Maximum pause within a response body that has no deadline.
 ANSWER_IDLE_S = 60.0
 # Effectively unlimited. The codec needs a value, and the framing checks the length.
 _MAX_ANSWER_BODY_BYTES = 1 << 50
@@ -165,6 +165,7 @@
     body: BodyStream,
     *,
     first_byte_timeout_s: float,
+    answer_timeout_s: float = math.inf,
     check_after_s: float = math.inf,
     keep_waiting: Callable[[], Awaitable[bool]] | None = None,
 ) -> AsyncIterator[Result[Answer, ExchangeFailure]]:
@@ -177,6 +178,8 @@
         head: Request line and headers, without hop-by-hop headers.
         body: Request body.
         first_byte_timeout_s: Timeout for the head of the response, in seconds.
+        answer_timeout_s: Timeout for the whole response, in seconds. A body that is not
+            complete by then expires.
         check_after_s: Time without a head after which ``keep_waiting`` is called, in
             seconds. Each further interval is twice as long as the one before.
         keep_waiting: Returns whether to go on waiting; false ends the exchange as
@@ -195,6 +198,7 @@
         ),
     )
     delegate = _AnswerDelegate(connection.stream)
+    answer_deadline = asyncio.get_running_loop().time() + answer_timeout_s
     reading = asyncio.ensure_future(_read(codec, delegate))
     sending: asyncio.Future[None] | None = None
     if body.complete and body.can_replay:
@@ -205,7 +209,8 @@
         result = await _wait_for_head(
             delegate, sending, first_byte_timeout_s, check_after_s, keep_waiting
         )
-        yield result
+        with _expire_at(answer_deadline, delegate.body):
+            yield result
         if isinstance(result, Success):
             answer = result.unwrap()
             sent = sending is None or (sending.done() and not sending.exception())
@@ -221,6 +226,19 @@
                     await task
 
 
+@contextmanager
+def _expire_at(deadline: float, body: BodyStream) -> Iterator[None]:
+    """Let a body expire at a time of the event loop's clock, within the block."""
+    if not math.isfinite(deadline):
+        yield
+        return
+    timer = asyncio.get_running_loop().call_at(deadline, body.expire)
+    try:
+        yield
+    finally:
+        timer.cancel()
+
+
 async def _wait_for_head(
     delegate: _AnswerDelegate,
     sending: asyncio.Future[None] | None,
--- a/siskinlug/inbound.py
+++ b/siskinlug/inbound.py
@@ -376,7 +376,8 @@
         Size of the forwarded body, in bytes.
 
     Raises:
-        BodyCut: The response was cut short; the connection must be broken.
+        BodyCut: The response was cut short or has expired; the connection must be
+            broken.
         StreamClosedError: The caller closed the connection.
     """
     headers = answer.headers
@@ -385,6 +386,26 @@
         headers[name] = value
     _add_close_header_if_draining(inbound, headers)
     start = ResponseStartLine("HTTP/1.1", answer.status, answer.reason)
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(None) as limit:
+            # The response may expire while a write waits for a slow caller.
+            answer.body.on_expired = lambda: limit.reschedule(loop.time())
+            return await _write_answer(inbound, answer, start, headers, observe)
+    except TimeoutError:
+        raise BodyCut from None
+    finally:
+        answer.body.on_expired = lambda: None
+
+
+async def _write_answer(
+    inbound: InboundRequest,
+    answer: Answer,
+    start: ResponseStartLine,
+    headers: HTTPHeaders,
+    observe: Callable[[bytes], None],
+) -> int:
+    """Write the head with the first chunk, then the rest; return the body's size."""
     sent_bytes = 0
     if not (answer.body.complete and answer.body.received_bytes == 0):
         async for chunk in answer.body.chunks():
--- a/siskinlug/owner.py
+++ b/siskinlug/owner.py
@@ -95,7 +95,8 @@
         priority: 0 is served first, 9 last.
         long_work: Whether the entry classified the request as long work.
         idempotent: Whether the request may run more than once.
-        deadline: Time on the owner's monotonic clock after which a response is useless.
+        deadline: Time on the owner's monotonic clock after which the head of a response
+            is useless.
         baseline_s: Median service time of the route at other targets in seconds, if
             known.
         fingerprint: Fingerprint of the request for quarantine.
@@ -107,6 +108,8 @@
             remembers from a response, if any.
         wait_limit_s: Wait for a slot, in seconds, after which the entry prefers to
             select a target again.
+        answer_deadline: Time on the owner's monotonic clock after which the rest of a
+            response is useless.
     """
 
     attempt: str
@@ -124,6 +127,7 @@
     usual_s: float | None = None
     wait_limit_s: float = math.inf
     known_limit_per_s: float | None = None
+    answer_deadline: float = math.inf
 
 
 class Owner:
@@ -519,7 +523,10 @@
                 run.slot.record_outcome(
                     status=answer.status, service_s=service_s, shed=False
                 )
-                if answer.body.cut:
+                if answer.body.expired:
+                    if answer.body.sender_stalled:
+                        _record_observation(run, Observation.LOST)
+                elif answer.body.cut:
                     _record_observation(run, Observation.LOST)
                     _record_possible_crash(run)
                 elif answer.body.complete and answer.status < 500:
@@ -641,7 +648,11 @@
     connection.record_request(run.request_id)
     sent_at = run.owner.monotonic()
     async with exchange(
-        connection, head, body, first_byte_timeout_s=remaining_s
+        connection,
+        head,
+        body,
+        first_byte_timeout_s=remaining_s,
+        answer_timeout_s=run.request.answer_deadline - sent_at,
     ) as result:
         if isinstance(result, Success):
             answer = result.unwrap()
@@ -744,8 +755,10 @@
     run.slot.record_outcome(status=answer.status, service_s=service_s, shed=False)
     owner, fingerprint = run.owner, run.request.fingerprint
     cut = answer.body.cut
+    if answer.body.expired and not answer.body.sender_stalled:
+        return
     ok = answer.status < 500 and not cut
-    if cut:
+    if cut and not answer.body.expired:
         _record_possible_crash(run)
     elif ok and fingerprint_status(owner.quarantine, fingerprint) != CLEAR:
         record_survival(owner.quarantine, fingerprint)
--- a/siskinlug/peer_server.py
+++ b/siskinlug/peer_server.py
@@ -10,14 +10,15 @@
 from returns.result import Failure, Success
 from tornado.httputil import HTTPHeaders
 
-from siskinlug.body import BodyStream
+from siskinlug.body import BodyCut, BodyStream
 from siskinlug.clock import HybridClock, encode_timestamp, observe_time_header
+from siskinlug.exchange import Answer
 from siskinlug.inbound import InboundRequest, RequestHandler, send_answer, stream_answer
 from siskinlug.load import encode_load
 from siskinlug.logs import log_event
 from siskinlug.owner import AttemptRequest, Owner, open_attempt, target_load
 from siskinlug.target_signals import parse_limit
-from siskinlug.verdict import Reason, Refusal, not_run
+from siskinlug.verdict import Reason, Refusal, may_have_run, not_run
 
 MAX_MESSAGE_BYTES = 4 << 20
 TOKEN_HEADER = "Siskinlug-Token"
@@ -104,12 +105,24 @@
     async with open_attempt(owner, request, inbound.head, inbound.body) as result:
         if isinstance(result, Success):
             extra = _answer_headers(owner, clock, request.target)
-            await stream_answer(inbound, result.unwrap(), extra)
+            try:
+                await stream_answer(inbound, result.unwrap(), extra)
+            except BodyCut:
+                if inbound.answered_status or inbound.body.cut:
+                    raise
+                # Without a byte sent, the entry need not take the path for broken.
+                result = Failure(_cut_refusal(request, result.unwrap()))
     if isinstance(result, Failure):
         extra = _answer_headers(owner, clock, request.target)
         await _send_attempt_refusal(inbound, result.failure(), extra)
 
 
+def _cut_refusal(request: AttemptRequest, answer: Answer) -> Refusal:
+    """Return the refusal for a response of which nothing could be forwarded."""
+    reason = Reason.DEADLINE if answer.body.expired else Reason.TARGET_RESET
+    return may_have_run(reason, f"{request.target}: the answer was cut")
+
+
 def _answer_headers(owner: Owner, clock: HybridClock, target: str) -> dict[str, str]:
     headers = {"Siskinlug-At": encode_timestamp(clock.now())}
     load = target_load(owner, target)
@@ -178,6 +191,8 @@
             long_work=headers["Siskinlug-Work"] == "long",
             idempotent=headers["Siskinlug-Idempotent"] == "yes",
             deadline=now + number("Siskinlug-Deadline-Ms") / 1000,
+            answer_deadline=now
+            + number("Siskinlug-Answer-Deadline-Ms", math.inf) / 1000,
             baseline_s=number("Siskinlug-Baseline-Ms", 0.0) / 1000 or None,
             fingerprint=headers["Siskinlug-Fingerprint"],
             min_health=number("Siskinlug-Least-Sound", 0.0),
--- a/siskinlug/probes.py
+++ b/siskinlug/probes.py
@@ -35,7 +35,7 @@
         address: Host and port.
         path: Path to request with GET.
         monotonic: Monotonic clock in seconds.
-        timeout_s: Time limit in seconds for connecting, and again for the first byte.
+        timeout_s: Time limit in seconds for connecting, and again for the whole answer.
 
     Returns:
         The duration in seconds, or the cause of the failure.
@@ -52,7 +52,11 @@
         if isinstance(opened, Failure):
             return Failure(opened.failure().cause)
         async with exchange(
-            opened.unwrap(), head, body_from_bytes(b""), first_byte_timeout_s=timeout_s
+            opened.unwrap(),
+            head,
+            body_from_bytes(b""),
+            first_byte_timeout_s=timeout_s,
+            answer_timeout_s=timeout_s,
         ) as result:
             if isinstance(result, Failure):
                 return Failure(result.failure().cause)
--- a/siskinlug/remote_attempts.py
+++ b/siskinlug/remote_attempts.py
@@ -121,6 +121,7 @@
             head,
             body,
             first_byte_timeout_s=remaining_s,
+            answer_timeout_s=attempt.answer_deadline - sent_at + REFUSAL_MARGIN_S,
             check_after_s=path_check_after_s(remote.paths, attempt.route, remaining_s),
             keep_waiting=partial(_should_keep_waiting, remote, node, attempt),
         ) as result:
@@ -181,6 +182,9 @@
     headers["Siskinlug-Work"] = "long" if attempt.long_work else "short"
     headers["Siskinlug-Idempotent"] = "yes" if attempt.idempotent else "no"
     headers["Siskinlug-Deadline-Ms"] = str(max(0, remaining_ms))
+    if math.isfinite(attempt.answer_deadline):
+        answer_ms = int((attempt.answer_deadline - remote.monotonic()) * 1000)
+        headers["Siskinlug-Answer-Deadline-Ms"] = str(max(0, answer_ms))
     headers["Siskinlug-Fingerprint"] = attempt.fingerprint
     headers["Siskinlug-Least-Sound"] = f"{attempt.min_health:.3f}"
     if attempt.usual_s is not None:
--- a/siskinlug/tables.py
+++ b/siskinlug/tables.py
@@ -54,6 +54,8 @@
         split: Weight by pool, in place of ``pool``; empty sends all to ``pool``.
         objective_s: Time within which a response is of full use to the caller, in
             seconds; 0 is the timeout.
+        answer_timeout_s: Time within which a caller gets the whole response, in
+            seconds; 0 is no limit.
     """
 
     name: str
@@ -71,6 +73,7 @@
     claims_without_log: str = "refuse"
     split: Mapping[str, float] = {}
     objective_s: float = 0.0
+    answer_timeout_s: float = 0.0
 
 
 class Pool(NamedTuple):
@@ -236,6 +239,13 @@
         "s",
         "Time within which an answer is of full use; 0 is the timeout.",
     ),
+    "answer_timeout_s": KeySpec(
+        number(0, 3600),
+        0.0,
+        "s",
+        "Time to the end of the answer, after which one that is not complete is broken "
+        "off; 0 is none.",
+    ),
 }
 
 POOL_SPECS: Mapping[str, KeySpec] = {
