Read a body that isn't retained once, and never hedge its request

Cause: a hedge asked whether the body had arrived, not whether it was retained. Above replay_bytes the first attempt had consumed it, and the second read yielded nothing and ended as complete.

Why this works: a body knows that it has been read, and a second read fails unless all of it is retained; the attempt closes its connection before the head. This holds for each hedge, retry and hop. A hedge asks for the retained body as well, so none is wasted.

--- a/siskinlug/attempt_loop.py
+++ b/siskinlug/attempt_loop.py
@@ -140,12 +140,14 @@
     """Return after how many seconds to hedge the next attempt, or ``None`` for never.
 
     An attempt is not hedged if hedging is off, if the route allows no further retry,
-    or if the body is not complete and so cannot be sent twice.
+    or if the body is not complete or too long to be sent twice.
     """
     ratio = entry.retry_allowance().hedge_ratio
     possible_runs = 1 + sum(outcome.may_have_run for outcome in outcomes)
     body = inbound.body
-    if not ratio or possible_runs > request.route.retries or not body.complete:
+    if not ratio or possible_runs > request.route.retries:
+        return None
+    if not (body.complete and body.can_replay):
         return None
     return hedge_after_s(
         request.route,
--- a/siskinlug/body.py
+++ b/siskinlug/body.py
@@ -45,6 +45,7 @@
         self.on_expired: Callable[[], object] = lambda: None
         self._replay_bytes = replay_bytes
         self._retained_chunks: list[bytes] = []
+        self._was_read = False
         self._unread: deque[bytes] = deque()
         self._unread_bytes = 0
         self._changed: asyncio.Event = asyncio.Event()
@@ -55,6 +56,11 @@
         """Whether all bytes received so far are retained."""
         return self.received_bytes <= self._replay_bytes
 
+    @property
+    def can_read_from_start(self) -> bool:
+        """Whether ``chunks`` yields the body from its start."""
+        return self.can_replay or not self._was_read
+
     @property
     def retained(self) -> bytes:
         """The bytes retained from the start of the body."""
@@ -110,6 +116,7 @@
 
     def discard(self) -> None:
         """Drop buffered data and let the reading side continue."""
+        self._was_read = True
         self._unread.clear()
         self._unread_bytes = 0
         self._resume_reading()
@@ -148,11 +155,15 @@
                 self.cut_off()
 
     async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body from its start, or only unread data if it cannot be replayed.
+        """Yield the body from its start.
 
         Raises:
-            BodyCut: The body ended early.
+            BodyCut: The body ended early, or its start is no longer retained. The rest
+                of it must not pass for the whole.
         """
+        if not self.can_read_from_start:
+            raise BodyCut
+        self._was_read = True
         if self.can_replay and self._retained_chunks:
             replay = self.retained
             self._unread.clear()
--- a/siskinlug/exchange.py
+++ b/siskinlug/exchange.py
@@ -293,9 +293,12 @@
     """Send head and body as the body arrives.
 
     Raises:
-        BodyCut: The request body was cut; the connection has been closed.
+        BodyCut: The request body was cut, or has been read before and is not retained;
+            the connection has been closed.
     """
     try:
+        if not body.can_read_from_start:
+            raise BodyCut
         await codec.write_headers(_start_line(head), head.headers)
         async for chunk in body.chunks():
             await codec.write(chunk)
