Send a streamed body that has arrived in full with its length

Cause: the codec chunks only POST, PUT and PATCH. The entry refuses other long bodies without a length, unless they have arrived in full, as they may while a starting node waits for its tables.

Why this works: a body that is complete has a known length, which is sent on every hop.

--- a/siskinlug/exchange.py
+++ b/siskinlug/exchange.py
@@ -299,6 +299,10 @@
     try:
         if not body.can_read_from_start:
             raise BodyCut
+        if body.complete:
+            # The codec sends chunks only with POST, PUT and PATCH, and a body without
+            # any framing would be read as the next request.
+            head.headers["Content-Length"] = str(body.received_bytes)
         await codec.write_headers(_start_line(head), head.headers)
         async for chunk in body.chunks():
             await codec.write(chunk)
