Accept a response without an id on a new connection only

What callers saw, on a stand-in: a booking was refused as not run, and ran.

Cause: a response of status 400 or more without an id counted as the answer to the request that waits, since a target that fails before it has read a request does not know its id.

Why this works: on a connection without earlier requests the response can belong to none but this one. On a kept connection it ends the exchange as malformed: may have run.

--- a/siskinlug/owner.py
+++ b/siskinlug/owner.py
@@ -605,7 +605,7 @@
 
 
 def _belongs_to_request(
-    answer: Answer, answer_id: str | None, request_id: str | None
+    answer: Answer, connection: Connection, answer_id: str | None, request_id: str
 ) -> bool:
     """Whether a response belongs to the request that was sent last.
 
@@ -613,8 +613,9 @@
     and no connection carries a request twice.
     """
     if answer_id is None:
-        # A target that fails before it has read the request does not know its id.
-        return answer.status >= 400
+        # A target that fails before it has read the request does not know its id. On a
+        # connection with earlier requests, it may be a late response to one of them.
+        return answer.status >= 400 and not connection.reused
     return answer_id == request_id
 
 
@@ -644,7 +645,6 @@
     headers[dialect.target_wait_ms] = str(max(1, int(remaining_s * 1000)))
     if dialect.expected_target:
         headers[dialect.expected_target] = run.request.target
-    request_id = headers.get(dialect.request_id)
     connection.record_request(run.request_id)
     sent_at = run.owner.monotonic()
     async with exchange(
@@ -661,7 +661,7 @@
             keep = {*dialect.forwarded_answer_headers, dialect.not_run}
             drop_headers_with_prefix(answer.headers, "Siskinlug-", keep=keep)
             if dialect.targets_echo_request_id and not _belongs_to_request(
-                answer, answer_id, request_id
+                answer, connection, answer_id, run.request_id
             ):
                 yield Failure(ExchangeFailure(True, "malformed"))
                 return
