Pass on no status that promises more than the target said

What callers saw, on a stand-in: a booking that ran was answered 408, 429 or 503, which promises that it has not run.

Cause: the status of a target's response is passed on unchanged.

Why this works: every response passes the owner, which refuses such a one to work that may run once as may-have-run, 502 without the signature. It logs promise_unproven, so the users' logs would show whether it is their case. Whether it is isn't known.

--- a/siskinlug/dialect.py
+++ b/siskinlug/dialect.py
@@ -56,6 +56,11 @@
 _BAD_REQUEST_STATUSES = frozenset({400, 404, 413, 431})
 
 
+def promises_not_run(dialect: Dialect, status: int) -> bool:
+    """Whether callers read a status as a promise that the request has not run."""
+    return dialect.not_run_is_503 and status in _NOT_RUN_STATUSES
+
+
 def status_of(dialect: Dialect, refusal: Refusal) -> int:
     """Return the HTTP status that the caller gets for a refusal.
 
--- a/siskinlug/owner.py
+++ b/siskinlug/owner.py
@@ -29,7 +29,7 @@
     ConnectionPool,
     open_connection,
 )
-from siskinlug.dialect import DEFAULT_DIALECT, Dialect
+from siskinlug.dialect import DEFAULT_DIALECT, Dialect, promises_not_run
 from siskinlug.evidence import Outcome, record_outcome
 from siskinlug.exchange import (
     Answer,
@@ -469,7 +469,7 @@
                 return
             answer.headers["Siskinlug-Service-Ms"] = f"{service_s * 1000:.2f}"
             try:
-                yield Success(answer)
+                yield _without_unproven_promise(run, answer)
             finally:
                 if answer.body.complete or answer.body.cut:
                     _record_answer(run, first_byte_wait, answer, service_s)
@@ -518,7 +518,7 @@
             elif not watch.reported_working:
                 _record_observation(run, Observation.WORKS)
             try:
-                yield Success(answer)
+                yield _without_unproven_promise(run, answer)
             finally:
                 run.slot.record_outcome(
                     status=answer.status, service_s=service_s, shed=False
@@ -604,6 +604,26 @@
     return None
 
 
+def _without_unproven_promise(run: _Run, answer: Answer) -> Result[Answer, Refusal]:
+    """Refuse a response whose status promises more than its target has said.
+
+    Callers read some statuses as "not run". A target that fails with one of them and
+    does not say that it has not run the request may have run it.
+    """
+    request, status = run.request, answer.status
+    if request.idempotent or not promises_not_run(run.owner.dialect, status):
+        return Success(answer)
+    log_event(
+        "promise_unproven",
+        target=request.target,
+        request_id=run.request_id,
+        attempt=request.attempt,
+        status=status,
+    )
+    detail = f"{request.target}: {status}, not said to be not run"
+    return Failure(may_have_run(Reason.TARGET_FAILED, detail))
+
+
 def _belongs_to_request(
     answer: Answer, connection: Connection, answer_id: str | None, request_id: str
 ) -> bool:
