--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -20,6 +20,9 @@
         float, typer.Option(help="Time in which faults start, in s.")
     ] = 12.0,
     nodes: Annotated[int, typer.Option(help="Number of nodes.")] = 4,
+    load: Annotated[
+        float, typer.Option(help="Multiple of the usual rates of requests and faults.")
+    ] = 1.0,
 ) -> None:
     """Run soaks one after the other and keep the logs of those that fail."""
     failed = 0
@@ -28,7 +31,13 @@
         folder = OUT / f"soak-{soak_seed}"
         folder.mkdir(parents=True, exist_ok=True)
         report = asyncio.run(
-            run_soak(soak_seed, seconds=seconds, nodes=nodes, folder=folder.resolve())
+            run_soak(
+                soak_seed,
+                seconds=seconds,
+                nodes=nodes,
+                load=load,
+                folder=folder.resolve(),
+            )
         )
         typer.echo(
             f"seed {soak_seed}: {len(report.violations)} violations, "
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -9,6 +9,8 @@
 # A request without a response by then counts as unanswered.
 ANSWER_TIMEOUT_S = 8.0
 CONNECT_TIMEOUT_S = 1.0
+# Description of a request that did not end in time.
+NO_RESPONSE = "no response in time"
 
 
 class RequestOutcome(NamedTuple):
@@ -98,7 +100,7 @@
         else:
             idle.append((reader, writer))
     except TimeoutError:
-        detail = "no response in time"
+        detail = NO_RESPONSE
         writer.close()
     except (OSError, asyncio.IncompleteReadError, ValueError) as error:
         detail = f"{type(error).__name__}: {error}"
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 from typing import NamedTuple
 
-from soak.callers import RequestOutcome
+from soak.callers import NO_RESPONSE, RequestOutcome
 
 # Statuses that state that the request has not run and never will.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -99,6 +99,7 @@
         *_find_configuration_regressions(record),
         *_find_requests_above_limits(record),
         *_find_requests_after_leaving_was_said(record),
+        *_find_unanswered(record),
     ]
 
 
@@ -138,10 +139,15 @@
 
 
 def _find_false_refusals(record: SoakRecord) -> list[str]:
+    """Check refusals that state that the request has not run.
+
+    A target's own failure is passed on unchanged if the request may be repeated.
+    """
     return [
         f"refused as not run, but ran at {runs}: {outcome}"
         for outcome in record.outcomes
         if outcome.status in NOT_RUN_STATUSES
+        and (outcome.at_most_once or not outcome.detail.startswith("signed."))
         and (runs := record.runs_by_id.get(outcome.request_id))
     ]
 
@@ -296,3 +302,15 @@
                 and not _is_node_disturbed(record, outcome.node, told_at, at)
             ]
     return violations
+
+
+def _find_unanswered(record: SoakRecord) -> list[str]:
+    """Check that a request ends by its deadline, whatever its target does."""
+    return [
+        f"no end long after the deadline: {outcome}"
+        for outcome in record.outcomes
+        if outcome.detail == NO_RESPONSE
+        and not _is_node_disturbed(
+            record, outcome.node, outcome.sent_at, outcome.ended_at
+        )
+    ]
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -19,7 +19,19 @@
 SILENCED_SHARE = 0.2
 # Share of replaced targets that say that they leave only in their responses.
 SILENT_LEAVING_SHARE = 0.4
-TARGET_FAULTS = ("fails", "sheds", "cuts", "loses", "repeats", "floods")
+TARGET_FAULTS = (
+    "fails",
+    "sheds",
+    "sheds twice",
+    "copies refusals without id",
+    "cuts",
+    "loses",
+    "repeats",
+    "stops",
+    "floods",
+)
+# Statuses of a target that fails. Some of them promise that it has not run the request.
+FAILURE_STATUSES = (500, 500, 503, 429)
 # Share of withdrawals after which a heartbeat from before arrives late.
 LATE_HEARTBEAT_SHARE = 0.5
 
@@ -149,12 +161,24 @@
         target.unblocked.clear()
     else:
         target.fault = context.random.choice(TARGET_FAULTS)
+        target.failure_status = context.random.choice(FAILURE_STATUSES)
     await asyncio.sleep(context.random.uniform(0.3, 2.5))
     target.fault = ""
     target.unblocked.set()
     context.faults.append(Fault("target", node, started_at, _now()))
 
 
+async def _disturb_all_targets(context: FaultContext) -> None:
+    """Let all targets refuse a share of their requests, each refusal twice."""
+    targets, started_at = context.site.target_by_node.values(), _now()
+    for target in targets:
+        target.fault = "sheds twice"
+    await asyncio.sleep(context.random.uniform(1.0, 4.0))
+    for target in targets:
+        target.fault = ""
+    context.faults.append(Fault("all targets", 0, started_at, _now()))
+
+
 async def _replace_target(context: FaultContext) -> None:
     """Withdraw a target and announce a new incarnation of it with another id."""
     node = context.random.choice(list(context.site.target_by_node))
@@ -226,6 +250,7 @@
     (_disturb_store, 1.0),
     (_restore_store, 0.7),
     (_disturb_target, 2.5),
+    (_disturb_all_targets, 0.5),
     (_replace_target, 1.5),
     (_limit_target, 1.5),
     (_publish_configuration, 1.0),
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -43,7 +43,12 @@
 
 
 async def run_soak(
-    seed: int, *, seconds: float, nodes: int = 4, folder: Path | None = None
+    seed: int,
+    *,
+    seconds: float,
+    nodes: int = 4,
+    load: float = 1.0,
+    folder: Path | None = None,
 ) -> Report:
     """Run one soak.
 
@@ -51,6 +56,7 @@
         seed: Seed of the faults and the requests.
         seconds: Time in which faults start.
         nodes: Number of nodes.
+        load: Multiple of the usual rates of requests and faults.
         folder: Folder of the logs; a temporary folder if ``None``.
     """
     async with open_site(nodes=nodes, folder=folder) as site:
@@ -60,9 +66,16 @@
         outcomes: list[RequestOutcome] = []
         connection_pool = ConnectionPool()
         sender = asyncio.create_task(
-            _send_requests(site, context, outcomes, connection_pool, Random(seed + 1))
+            _send_requests(
+                site,
+                context,
+                outcomes,
+                connection_pool,
+                Random(seed + 1),
+                per_s=load * REQUESTS_PER_S,
+            )
         )
-        await inject_faults(context, seconds=seconds, gap_s=MEAN_FAULT_GAP_S)
+        await inject_faults(context, seconds=seconds, gap_s=MEAN_FAULT_GAP_S / load)
         await asyncio.sleep(FAULT_EFFECT_S)
         sender.cancel()
         await asyncio.wait({sender})
@@ -105,6 +118,8 @@
     outcomes: list[RequestOutcome],
     connection_pool: ConnectionPool,
     random: Random,
+    *,
+    per_s: float,
 ) -> None:
     """Send requests at random intervals until cancelled, then wait for their ends."""
     tasks: set[asyncio.Task[None]] = set()
@@ -132,7 +147,7 @@
             )
             tasks.add(task)
             task.add_done_callback(tasks.discard)
-            await asyncio.sleep(random.expovariate(REQUESTS_PER_S))
+            await asyncio.sleep(random.expovariate(per_s))
     finally:
         if tasks:
             await asyncio.wait(tasks)
