Let the platform's prefixes begin a path as it was sent

Cause: our tables compare paths in normal form and refuse a prefix that no normal form begins with; one refused row refuses the version.

Evidence: parse_configuration alone refuses the prefix.

--- a/siskinlug/routing.py
+++ b/siskinlug/routing.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator, Mapping
 from typing import NamedTuple
 
-from siskinlug.tables import ANY, Route, Tables
+from siskinlug.tables import ANY, LITERAL, Route, Tables
 
 # Indexes are kept for the tables in force and, during a change, for their successors.
 _MAX_INDEXES = 4
@@ -13,8 +13,8 @@
 _UNRESERVED = re.compile(r"[A-Za-z0-9._~-]")
 
 
-class _HostRoutes(NamedTuple):
-    """Routes of one host.
+class _PrefixRoutes(NamedTuple):
+    """Routes of one host whose paths are matched in the same way.
 
     Attributes:
         routes_by_prefix: By path prefix, the routes by method.
@@ -25,7 +25,8 @@
     max_prefix_chars: int
 
 
-_RouteIndex = dict[str, _HostRoutes]
+# Routes by host and by whether their paths are matched literally.
+_RouteIndex = dict[tuple[str, bool], _PrefixRoutes]
 # Each index keeps its mapping alive, so that the id cannot be reused for another one.
 _index_by_id: dict[int, tuple[Mapping[str, Route], _RouteIndex]] = {}
 
@@ -43,27 +44,31 @@
         tables: The tables in force; their routes must not be changed in place.
         method: Request method; methods are case-sensitive.
         host: Host header, with or without port.
-        path: Request target; a query is ignored. Unnecessary escapes are decoded and
-            dot segments removed (RFC 3986, 6.2.2), so that they cannot be used to
-            evade a route.
+        path: Request target; a query is ignored. Unless a route matches literally,
+            unnecessary escapes are decoded and dot segments removed (RFC 3986, 6.2.2),
+            so that they cannot be used to evade it.
 
     Returns:
         The route, or ``None`` if no route matches.
     """
     index = _cached_index(tables.routes_by_name)
-    path = _normalize(path)
+    path = _without_query(path)
+    normalized = _normalize(path)
     for name in (_without_port(host), ANY):
-        host_routes = index.get(name)
-        if host_routes is not None:
-            route = _longest_match(host_routes, method, path)
-            if route is not None:
-                return route
+        matches = [
+            route
+            for literal, spelling in ((True, path), (False, normalized))
+            if (routes := index.get((name, literal))) is not None
+            and (route := _longest_match(routes, method, spelling)) is not None
+        ]
+        if matches:
+            return max(matches, key=lambda route: len(route.path_prefix))
     return None
 
 
-def _longest_match(host_routes: _HostRoutes, method: str, path: str) -> Route | None:
-    for prefix in _prefixes(path, host_routes.max_prefix_chars):
-        by_method = host_routes.routes_by_prefix.get(prefix)
+def _longest_match(routes: _PrefixRoutes, method: str, path: str) -> Route | None:
+    for prefix in _prefixes(path, routes.max_prefix_chars):
+        by_method = routes.routes_by_prefix.get(prefix)
         if by_method is not None:
             route = by_method.get(method) or by_method.get(ANY)
             if route is not None:
@@ -101,15 +106,16 @@
 
 
 def _build_index(routes_by_name: Mapping[str, Route]) -> _RouteIndex:
-    prefixes_by_host: dict[str, dict[str, dict[str, Route]]] = {}
+    prefixes_by_key: dict[tuple[str, bool], dict[str, dict[str, Route]]] = {}
     for route in routes_by_name.values():
-        by_method = prefixes_by_host.setdefault(route.host, {}).setdefault(
+        key = (route.host, route.path_match == LITERAL)
+        by_method = prefixes_by_key.setdefault(key, {}).setdefault(
             route.path_prefix, {}
         )
         by_method.update(dict.fromkeys(route.methods or (ANY,), route))
     return {
-        host: _HostRoutes(routes_by_prefix, max(map(len, routes_by_prefix)))
-        for host, routes_by_prefix in prefixes_by_host.items()
+        key: _PrefixRoutes(routes_by_prefix, max(map(len, routes_by_prefix)))
+        for key, routes_by_prefix in prefixes_by_key.items()
     }
 
 
@@ -120,13 +126,15 @@
     return host.partition(":")[0].rstrip(".")
 
 
-def _normalize(path: str) -> str:
+def _without_query(path: str) -> str:
     path = path.partition("?")[0].partition("#")[0]
+    return path if path.startswith("/") else "/" + path
+
+
+def _normalize(path: str) -> str:
     if "%" in path:
         path = _ESCAPE.sub(_decode_unreserved, path)
-    if "/." in path:
-        path = _remove_dot_segments(path)
-    return path if path.startswith("/") else "/" + path
+    return _remove_dot_segments(path) if "/." in path else path
 
 
 def _decode_unreserved(escape: re.Match[str]) -> str:
--- a/siskinlug/tables.py
+++ b/siskinlug/tables.py
@@ -24,6 +24,8 @@
 )
 
 ANY = "*"
+# Value of ``Route.path_match`` for paths that are compared as they were sent.
+LITERAL = "literal"
 
 # A bracket in the first column always begins a section, also after a value of several
 # lines.
@@ -56,6 +58,8 @@
             seconds; 0 is the timeout.
         answer_timeout_s: Time within which a caller gets the whole response, in
             seconds; 0 is no limit.
+        path_match: ``normalized``, or ``literal`` if the prefix must begin the path as
+            it was sent.
     """
 
     name: str
@@ -74,6 +78,7 @@
     split: Mapping[str, float] = {}
     objective_s: float = 0.0
     answer_timeout_s: float = 0.0
+    path_match: str = "normalized"
 
 
 class Pool(NamedTuple):
@@ -130,11 +135,12 @@
     r"\*|[a-z0-9]([a-z0-9.-]{0,251}[a-z0-9])?",
     "'*' or a host name in lower case without port",
 )
+_PATH_PREFIX = matching(r"/[!-~]{0,4096}", "a path with '/' at its start")
 # Dot segments and unnecessary escapes are removed before a path is matched, so a prefix
-# that contains one could never match.
-_PATH_PREFIX = matching(
+# that contains one could never match, except literally.
+_NORMALIZED_PATH_PREFIX = matching(
     r"/|(?!.*/\.{1,2}(/|$))(/[A-Za-z0-9._~!$&'()*+,;=:@-]+){1,32}/?",
-    "a path of plain segments with '/' at its start",
+    "a path of plain segments with '/' at its start, unless path_match is literal",
 )
 _HEADER = matching(r"[A-Za-z][A-Za-z0-9-]{0,63}", "a header name")
 _METHOD = matching(r"[A-Z]{1,16}", "a method in upper case")
@@ -246,6 +252,13 @@
         "Time to the end of the answer, after which one that is not complete is broken "
         "off; 0 is none.",
     ),
+    "path_match": KeySpec(
+        one_of("normalized", LITERAL),
+        "normalized",
+        "",
+        "`normalized` decodes unnecessary escapes and removes dot segments before it "
+        "compares a path with the prefix; `literal` compares it as it was sent.",
+    ),
 }
 
 POOL_SPECS: Mapping[str, KeySpec] = {
@@ -310,6 +323,7 @@
     faults: list[Fault] = []
     if routes_by_name is None:
         routes_by_name, faults = _parse_rows(text, ROUTE_SPECS, Route, file)
+    faults += _find_unmatchable_prefixes(routes_by_name, file, text)
     faults += _find_duplicate_routes(routes_by_name, file, text)
     return Failure(faults) if faults else Success(routes_by_name)
 
@@ -488,15 +502,29 @@
     return row_by_name, faults
 
 
+def _find_unmatchable_prefixes(
+    routes_by_name: Mapping[str, Route], file: str, text: str
+) -> Iterator[Fault]:
+    """Yield a fault for each prefix that no normalized path can begin with."""
+    for route in routes_by_name.values():
+        if route.path_match == LITERAL:
+            continue
+        try:
+            _NORMALIZED_PATH_PREFIX(route.path_prefix)
+        except ValueError as error:
+            line = locate_keys(text).get((route.name, "path_prefix"), 0)
+            yield Fault(file, line, route.name, "path_prefix", str(error))
+
+
 def _find_duplicate_routes(
     routes_by_name: Mapping[str, Route], file: str, text: str
 ) -> Iterator[Fault]:
     """Yield a fault for each route that matches the same requests as an earlier one."""
-    name_by_match: dict[tuple[str, str, str], str] = {}
+    name_by_match: dict[tuple[str, str, str, str], str] = {}
     line_by_key: Mapping[tuple[str, str], int] = {}
     for route in routes_by_name.values():
         for method in route.methods or (ANY,):
-            match = (route.host, route.path_prefix, method)
+            match = (route.host, route.path_prefix, route.path_match, method)
             earlier = name_by_match.setdefault(match, route.name)
             if earlier == route.name:
                 continue
--- a/tests/test_tables.py
+++ b/tests/test_tables.py
@@ -173,6 +173,36 @@
             found = match_route(_tables(orders, archive), "GET", "h", path)
             self.assertThat(found and found.name, Equals(name), path)
 
+    def test_literal_prefix_begins_the_path_as_it_was_sent(self) -> None:
+        """Guards against a request on a literal route that another spelling selects.
+
+        The normalized route beside it still takes what only its normal form matches.
+        """
+        tables = _tables(
+            Route("all", "*", "/", (), "p", path_match="literal"),
+            Route("escaped", "*", "/narud%C5%BEbe/", (), "p", path_match="literal"),
+            Route("plain", "*", "/hires/", (), "p", path_match="literal"),
+            Route("normal", "*", "/fittings/", (), "p"),
+        )
+        for path, name in [
+            ("/narud%C5%BEbe/1", "escaped"),
+            ("/narud%c5%bebe/1", "all"),
+            ("/hires/1", "plain"),
+            ("/%68ires/1", "all"),
+            ("/x/../hires/1", "all"),
+            ("/%66ittings/1", "normal"),
+        ]:
+            found = match_route(tables, "GET", "h", path)
+            self.assertThat(found and found.name, Equals(name), path)
+
+    def test_prefix_that_only_a_literal_route_can_match(self) -> None:
+        """Guards against a normalized route that no request can ever take."""
+        for prefix in ("/a%41/", "/a/../b/", "/a//b/", "/a" * 40):
+            text = f"[r]\npool = p\npath_prefix = {prefix}\n"
+            self.assertThat(parse_routes(text), IsInstance(Failure), prefix)
+            literal = parse_routes(text + "path_match = literal\n")
+            self.assertThat(literal, IsInstance(Success), prefix)
+
     def test_other_spellings_of_a_path_reach_its_route(self) -> None:
         """Guards against a caller that bypasses a route by escapes or dot segments."""
         tables = _tables(
