Keep leavings of targets in the store before they are acknowledged

Cause: nodes remembered a leaving in memory and told each other; a fleet that restarted as a whole knew nothing, and the late heartbeat looked like a new target.

Why this works: a DELETE or `draining` is written to a topic of the store before the acknowledgement, and a starting node reads it. New module leaving_memory.

Shown failing without the read at the start: test_withdrawn_target_stays_away_after_all_nodes_restart (TimeoutError) and test_entries_are_read_at_the_start_and_dropped_when_old. test_withdrawn_target_stays_away_after_its_node_restarts waited for the log line of gossip, which is no news any more if the store was read first. It drops the entry from the store before the restart, so it tests the nodes' memory alone, as before.

--- a/siskinlug/node.py
+++ b/siskinlug/node.py
@@ -42,7 +42,12 @@
 )
 from siskinlug.entry_state import Entry
 from siskinlug.inbound import InboundServer
-from siskinlug.leaving_targets import Leaving
+from siskinlug.leaving_memory import (
+    LeavingStore,
+    StoredLeaving,
+    make_leaving_memory,
+)
+from siskinlug.leaving_targets import GOSSIP_S, Leaving
 from siskinlug.links import link_up
 from siskinlug.load_balancing import make_load_balancer
 from siskinlug.load_poll import make_polls
@@ -112,6 +117,7 @@
     Attributes:
         dialect: Header names and status codes that callers and targets use.
         member_store: Store of node addresses; a stream of the log if ``None``.
+        leaving_store: Store of leaving targets; ``None`` if only nodes remember them.
         follow_operator: Job that receives complete configurations and passes them to
             ``put_in_force``. If ``None``, the node applies the tables published in the
             log.
@@ -132,6 +138,7 @@
 
     dialect: Dialect = DEFAULT_DIALECT
     member_store: MemberStore | None = None
+    leaving_store: LeavingStore | None = None
     follow_operator: FollowOperator | None = None
     health_policy: str = "ejection"
     lease_s: float = LEASE_S
@@ -155,6 +162,9 @@
         self.incarnation = wall_clock_ms()
         self.log = open_log(settings.log_url, monotonic=self.monotonic)
         self.member_store = options.member_store or _member_store_in_log(self.log)
+        self.leaving_memory = make_leaving_memory(
+            store=options.leaving_store, node=settings.name
+        )
         self.timeline = Timeline(settings.name, HybridClock())
         self.metrics = make_metrics()
         self.connections = make_connection_pool(monotonic=self.monotonic)
@@ -476,6 +486,19 @@
     return bool(news)
 
 
+def learn_stored_leavings(node: Node, stored: Sequence[StoredLeaving]) -> None:
+    """Remember the leaving targets that the store has kept."""
+    for leaving in stored:
+        target, incarnation = leaving.target, leaving.incarnation
+        # Other nodes read the store as well, so gossip need not repeat it.
+        if not node.targets.leaving.add(target, incarnation, age_s=GOSSIP_S):
+            continue
+        log_event("stored_leaving_learned", target=target, incarnation=incarnation)
+        owned = node.targets.owned_by_target.get(target)
+        if owned and owned.announcement["incarnation"] <= incarnation:
+            mark_leaving(node, target, "the store remembers it")
+
+
 def _apply_admission_limits(node: Node) -> None:
     """Apply the limits of the tables in force to the queues of owned targets."""
     owned_by_target = node.targets.owned_by_target
--- a/siskinlug/node_runtime.py
+++ b/siskinlug/node_runtime.py
@@ -35,6 +35,7 @@
 from siskinlug.attempts import attempt_state, cancel_attempt
 from siskinlug.claim_messages import ClaimsAnswer, ClaimsMessage
 from siskinlug.claims import close_claims, serve_claims
+from siskinlug.clock import wall_clock_ms
 from siskinlug.config_sync import (
     answer_configuration,
     configuration_page,
@@ -49,6 +50,7 @@
 )
 from siskinlug.entry import serve_caller
 from siskinlug.inbound import InboundLimits, RequestHandler, drain_server, open_server
+from siskinlug.leaving_memory import run_leaving_memory, store_leaving
 from siskinlug.load_poll import open_polls
 from siskinlug.logs import log_event
 from siskinlug.membership import (
@@ -75,6 +77,7 @@
     CONFIGURATION_PATH,
     RESERVATIONS_PATH,
     Node,
+    learn_stored_leavings,
     mark_leaving,
 )
 from siskinlug.owner import detect_crash
@@ -165,9 +168,20 @@
     return accepted
 
 
-def withdraw_target(node: Node, target: str) -> None:
+async def withdraw_target(node: Node, target: str) -> None:
     """Stop sending requests to a target that has announced that it is gone."""
     mark_leaving(node, target, "withdrew")
+    owned = node.targets.owned_by_target.get(target)
+    incarnation = owned.announcement["incarnation"] if owned else wall_clock_ms()
+    await store_leaving(node.leaving_memory, target, incarnation)
+
+
+async def keep_announced_leaving(node: Node, message: Announcement) -> None:
+    """Store that a target is leaving, if its accepted announcement says so."""
+    if message["state"] == "leaving":
+        await store_leaving(
+            node.leaving_memory, message["target"], message["incarnation"]
+        )
 
 
 def is_ready(node: Node) -> bool:
@@ -418,6 +432,9 @@
         "membership": lambda: run_membership(node.membership),
         "find members": lambda: _discover_nodes(node),
         "targets": lambda: run_ejection_monitor(node.ejection_monitor),
+        "leaving": lambda: run_leaving_memory(
+            node.leaving_memory, partial(learn_stored_leavings, node)
+        ),
     }
     async with AsyncExitStack() as stack:
         stack.callback(node.connections.close)
