--- a/siskinlug/owner.py
+++ b/siskinlug/owner.py
@@ -29,7 +29,7 @@
     ConnectionPool,
     open_connection,
 )
-from siskinlug.dialect import DEFAULT_DIALECT, Dialect, promises_not_run
+from siskinlug.dialect import DEFAULT_DIALECT, Dialect
 from siskinlug.evidence import Outcome, record_outcome
 from siskinlug.exchange import (
     Answer,
@@ -66,6 +66,11 @@
     resolve_reset,
     run_alone_if_suspect,
 )
+from siskinlug.target_answers import (
+    belongs_to_request,
+    promises_too_much,
+    says_not_run,
+)
 from siskinlug.target_signals import TargetSignals, read_signals
 from siskinlug.verdict import Reason, Refusal, Verdict, may_have_run, not_run
 
@@ -593,10 +598,7 @@
         run.slot.record_outcome(status=None, service_s=0.0, shed=False)
         _record_observation(run, Observation.UNREACHABLE)
         return not_run(Reason.TARGET_UNKNOWN, f"{run.request.target} has moved")
-    # In the default dialect, the header counts only on a 503 response.
-    if answer.headers.get(dialect.not_run) and (
-        answer.status == 503 or dialect.expected_target
-    ):
+    if says_not_run(dialect, answer):
         run.slot.record_outcome(status=503, service_s=0.0, shed=True)
         if run.owner.estimates_health:
             _record_shed(run, connection, shed=True, service_s=service_s)
@@ -605,13 +607,9 @@
 
 
 def _without_unproven_promise(run: _Run, answer: Answer) -> Result[Answer, Refusal]:
-    """Refuse a response whose status promises more than its target has said.
-
-    Callers read some statuses as "not run". A target that fails with one of them and
-    does not say that it has not run the request may have run it.
-    """
+    """Refuse a response whose status promises more than its target has said."""
     request, status = run.request, answer.status
-    if request.idempotent or not promises_not_run(run.owner.dialect, status):
+    if not promises_too_much(run.owner.dialect, answer, idempotent=request.idempotent):
         return Success(answer)
     log_event(
         "promise_unproven",
@@ -624,21 +622,6 @@
     return Failure(may_have_run(Reason.TARGET_FAILED, detail))
 
 
-def _belongs_to_request(
-    answer: Answer, connection: Connection, answer_id: str | None, request_id: str
-) -> bool:
-    """Whether a response belongs to the request that was sent last.
-
-    A late response to an earlier request on the connection has the id of that request,
-    and no connection carries a request twice.
-    """
-    if answer_id is None:
-        # A target that fails before it has read the request does not know its id. On a
-        # connection with earlier requests, it may be a late response to one of them.
-        return answer.status >= 400 and not connection.reused
-    return answer_id == request_id
-
-
 async def _probe_silent(owner: Owner, target: str, connection: Connection) -> bool:
     """Probe a target that has been silent for longer than usual.
 
@@ -680,8 +663,8 @@
             signals = read_signals(dialect, answer.headers)
             keep = {*dialect.forwarded_answer_headers, dialect.not_run}
             drop_headers_with_prefix(answer.headers, "Siskinlug-", keep=keep)
-            if dialect.targets_echo_request_id and not _belongs_to_request(
-                answer, connection, answer_id, run.request_id
+            if dialect.targets_echo_request_id and not belongs_to_request(
+                answer, connection, answer_id=answer_id, request_id=run.request_id
             ):
                 yield Failure(ExchangeFailure(True, "malformed"))
                 return
