Answer at the deadline also if the owner of an attempt has frozen

Cause: at the deadline the entry asks the owner whether the attempt may have run, and waited for 1 s; the check of a silent peer, begun before the deadline, ran on past it.

Why this works: the question ends 0.1 s after the deadline, as may-have-run, and the check at the deadline. Before the deadline both have the time that they had.

--- a/siskinlug/exchange.py
+++ b/siskinlug/exchange.py
@@ -254,8 +254,10 @@
         await asyncio.wait({head}, timeout=check_after_s)
         if head.done():
             break
-        if not await keep_waiting():
-            deadline = loop.time()
+        with suppress(TimeoutError):
+            async with asyncio.timeout_at(deadline):
+                if not await keep_waiting():
+                    deadline = loop.time()
         check_after_s *= 2
     if not head.done():
         await asyncio.wait({head}, timeout=max(0.0, deadline - loop.time()))
--- a/siskinlug/remote_attempts.py
+++ b/siskinlug/remote_attempts.py
@@ -38,6 +38,9 @@
 ANSWER_GRACE_S = 0.2
 # Lets a refusal that the owner sends at the deadline arrive before the entry gives up.
 REFUSAL_MARGIN_S = 0.005
+# Longest wait for the verdict on a lost attempt after its deadline. The caller's time
+# is over by then, and an owner that answers at all does so within milliseconds.
+VERDICT_GRACE_S = 0.1
 
 
 class OwnerQueries(NamedTuple):
@@ -132,9 +135,7 @@
                 return
             cause = result.failure().cause
     # The connection is closed by now, but the attempt may still run at the owner.
-    yield Failure(
-        await _resolve_lost_attempt(remote, node, attempt.attempt, sent_at, cause)
-    )
+    yield Failure(await _resolve_lost_attempt(remote, node, attempt, sent_at, cause))
 
 
 async def _should_keep_waiting(
@@ -229,7 +230,11 @@
 
 
 async def _resolve_lost_attempt(
-    remote: RemoteOwners, node: NodeRecord, attempt: str, sent_at: float, cause: str
+    remote: RemoteOwners,
+    node: NodeRecord,
+    attempt: AttemptRequest,
+    sent_at: float,
+    cause: str,
 ) -> Refusal:
     """Cancel an attempt that got no response, and return a refusal with its verdict."""
     if cause == "body_cut":
@@ -237,5 +242,12 @@
         return may_have_run(Reason.CANCELLED)
     if cause != "silent":
         record_path_failure(remote.paths, node.node)
-    verdict = await remote.queries.cancel_attempt(node, attempt, sent_at)
+    left_s = max(attempt.deadline - remote.monotonic(), 0.0)
+    try:
+        async with asyncio.timeout(left_s + VERDICT_GRACE_S):
+            verdict = await remote.queries.cancel_attempt(
+                node, attempt.attempt, sent_at
+            )
+    except TimeoutError:
+        verdict = Verdict.MAY_HAVE_RUN
     return Refusal(verdict, Reason.PEER_LOST, f"{node.node}: {cause}")
--- a/tests/test_answer_deadline.py
+++ b/tests/test_answer_deadline.py
@@ -4,8 +4,8 @@
 from collections.abc import Awaitable, Callable
 
 import testtools
-from returns.result import Success
-from testtools.matchers import Equals, IsInstance
+from returns.result import Failure, Success
+from testtools.matchers import Equals, IsInstance, LessThan
 from tornado.httputil import HTTPHeaders
 
 from siskinlug.body import HIGH_WATER_BYTES, BodyCut, BodyStream, body_from_bytes
@@ -134,3 +134,40 @@
             return error
 
         self.assertThat(asyncio.run(main()), IsInstance(BodyCut))
+
+    def test_check_of_a_silent_peer_ends_at_the_deadline(self) -> None:
+        """Guards against a caller that waits on for a check of its path."""
+
+        async def main() -> float:
+            loop = asyncio.get_running_loop()
+
+            async def serve(
+                reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+            ) -> None:
+                await reader.read()
+                writer.close()
+
+            async def never_answers() -> bool:
+                await asyncio.sleep(HANG_S)
+                return True
+
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            pool = make_connection_pool(monotonic=loop.time)
+            started_at = loop.time()
+            async with server:
+                address = server.sockets[0].getsockname()
+                async with (
+                    open_connection(pool, address) as connected,
+                    exchange(
+                        connected.unwrap(),
+                        RequestHead("GET", "/", HTTPHeaders({"Host": "x"})),
+                        body_from_bytes(b""),
+                        first_byte_timeout_s=ANSWER_TIMEOUT_S,
+                        check_after_s=0.1,
+                        keep_waiting=never_answers,
+                    ) as result,
+                ):
+                    self.assertThat(result, IsInstance(Failure))
+            return loop.time() - started_at
+
+        self.assertThat(asyncio.run(main()), LessThan(HANG_S / 2))
