--- a/tests/test_answer_deadline.py
+++ b/tests/test_answer_deadline.py
@@ -26,6 +26,7 @@
     Returns:
         The body, whether it expired, and whether the connection may be reused.
     """
+    ended = asyncio.Event()
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await reader.readuntil(b"\r\n\r\n")
@@ -36,6 +37,7 @@
             return
         finally:
             writer.close()
+            ended.set()
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     pool = make_connection_pool(monotonic=asyncio.get_running_loop().time)
@@ -60,6 +62,7 @@
                     pass
             reusable = connection.reusable
         pool.close()
+        await ended.wait()
         return received, body.expired, reusable
 
 
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -46,7 +46,14 @@
     def _run(self, test: Callable[[ConnectionPool, Address], Awaitable[None]]) -> None:
         async def main() -> None:
             pool = make_connection_pool(monotonic=lambda: 0.0)
-            server = await asyncio.start_server(lambda _r, _w: None, "127.0.0.1", 0)
+
+            async def serve(
+                reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+            ) -> None:
+                await reader.read()
+                writer.close()
+
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
             try:
                 await test(pool, server.sockets[0].getsockname())
             finally:
--- a/tests/test_request_framing.py
+++ b/tests/test_request_framing.py
@@ -18,6 +18,8 @@
     """Send a complete body that is not retained; return how it was framed and read."""
     read: asyncio.Future[tuple[str, bytes]] = asyncio.get_running_loop().create_future()
 
+    ended = asyncio.Event()
+
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         head = (await reader.readuntil(b"\r\n\r\n")).decode()
         headers = HTTPHeaders.parse(head.partition("\r\n")[2])
@@ -33,6 +35,8 @@
             read.set_result(("none", b""))
         writer.write(b"HTTP/1.1 204 No Content\r\nConnection: close\r\n\r\n")
         writer.close()
+        await writer.wait_closed()
+        ended.set()
 
     body = BodyStream(replay_bytes=10)
     body.feed(BODY)
@@ -53,7 +57,9 @@
                 first_byte_timeout_s=HANG_S,
             ),
         ):
-            return await read
+            result = await read
+        await ended.wait()
+        return result
 
 
 class RequestFramingTest(testtools.TestCase):
