--- a/tests/test_answer_deadline.py
+++ b/tests/test_answer_deadline.py
@@ -143,12 +143,14 @@
 
         async def main() -> float:
             loop = asyncio.get_running_loop()
+            ended = asyncio.Event()
 
             async def serve(
                 reader: asyncio.StreamReader, writer: asyncio.StreamWriter
             ) -> None:
                 await reader.read()
                 writer.close()
+                ended.set()
 
             async def never_answers() -> bool:
                 await asyncio.sleep(HANG_S)
@@ -171,6 +173,8 @@
                     ) as result,
                 ):
                     self.assertThat(result, IsInstance(Failure))
-            return loop.time() - started_at
+                took_s = loop.time() - started_at
+                await ended.wait()
+            return took_s
 
         self.assertThat(asyncio.run(main()), LessThan(HANG_S / 2))
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -47,17 +47,24 @@
         async def main() -> None:
             pool = make_connection_pool(monotonic=lambda: 0.0)
 
+            open_count = 0
+
             async def serve(
                 reader: asyncio.StreamReader, writer: asyncio.StreamWriter
             ) -> None:
+                nonlocal open_count
+                open_count += 1
                 await reader.read()
                 writer.close()
+                open_count -= 1
 
             server = await asyncio.start_server(serve, "127.0.0.1", 0)
             try:
                 await test(pool, server.sockets[0].getsockname())
             finally:
                 pool.close()
+                while open_count:
+                    await asyncio.sleep(0)
                 server.close()
 
         asyncio.run(main())
