Store a leaving although its target disconnects before the acknowledgement

Found on reading the change again. What a target could see: its first DELETE is cut off while the store is slow, the second is acknowledged, and the leaving is never written; after a restart of all nodes it gets requests again (DRAIN).

Cause: the cancelled call had noted the leaving as known, and not as unconfirmed.

Why this works: it is unconfirmed from before the write until the store confirms it, so the task that repeats writes has it in each case.

Shown failing before: test_leaving_is_written_if_the_target_disconnects_meanwhile ("[] != ['i-1']").

--- a/siskinlug/leaving_memory.py
+++ b/siskinlug/leaving_memory.py
@@ -114,15 +114,19 @@
         return
     leaving = StoredLeaving(target, incarnation, memory.node, memory.wall_ms())
     memory.leaving_by_target[target] = leaving
+    # Also if the target closes its connection, which cancels this call.
+    memory.unconfirmed.add(target)
     try:
         async with asyncio.timeout(WRITE_TIMEOUT_S):
-            written = await memory.store.write(leaving)
+            if await memory.store.write(leaving):
+                memory.unconfirmed.discard(target)
     except TimeoutError:
-        written = False
-    if not written:
+        logging.debug("the store took too long")
+    finally:
+        if target in memory.unconfirmed:
+            memory.changed.set()
+    if target in memory.unconfirmed:
         log_event("leaving_not_stored", write=logging.warning, target=target)
-        memory.unconfirmed.add(target)
-        memory.changed.set()
 
 
 async def run_leaving_memory(
--- a/tests/test_leaving_memory.py
+++ b/tests/test_leaving_memory.py
@@ -117,6 +117,22 @@
 
         self._run(test)
 
+    def test_leaving_is_written_if_the_target_disconnects_meanwhile(self) -> None:
+        """Guards against a repeated DELETE that is acknowledged and never stored."""
+
+        async def test(store: _FakeStore, memory: LeavingMemory, _: object) -> None:
+            await asyncio.sleep(1.0)
+            store.fault = "hangs"
+            first = asyncio.create_task(store_leaving(memory, "i-1", 5))
+            await asyncio.sleep(0.1)
+            first.cancel()
+            store.fault = ""
+            await store_leaving(memory, "i-1", 5)
+            await asyncio.sleep(3.0)
+            self.assertThat(list(store.leaving_by_target), Equals(["i-1"]))
+
+        self._run(test)
+
     def test_entries_are_read_at_the_start_and_dropped_when_old(self) -> None:
         """Guards against entries without end, and against an old one that still rules.
 
